--- /dev/null
+++ b/src/main/java/switchgap/Decide.java
@@ -0,0 +1,724 @@
+package switchgap;
+
+import static switchgap.state.Spans.*;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import switchgap.port.*;
+import switchgap.state.*;
+import switchgap.state.Copy.Belief;
+
+/**
+ * All decisions of one router. Invoked once a round, {@code decide.round(now, in, out)}: {@code in} calls the
+ * Feed methods below with what came in, decisions go straight into {@code out}. The interface is the package
+ * {@code switchgap.port}; the holders of what is remembered are {@code switchgap.state}. docs/design.md
+ * says what follows the design page and under what conditions each exception acts.
+ */
+public final class Decide implements Feed {
+    // --- Bins. All are ratios: to a start target, to what is usual, or to a copy's lanes.
+    private static final double[] SPANS = {1 / 16., 1 / 8., 1 / 4., 1 / 2., 1, 2, 4};
+    private static final double[] RATIOS = {0.5, 1, 1.5, 2, 3, 5, 8};
+    private static final double[] BAD = {0.5};
+    private static final double[] CROWD = {0.25, 0.5, 0.75, 1, 1.5, 2, 4};
+    // --- The design's open figures.
+    private static final double LOAD_MARK = 0.5;  // mean crowd a lane at arrival: k rises above it
+    private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
+    private static final double FALL_AFTER = 1;    // of the keep-alive
+    private static final double MOST_COPIES = 0.5; // of the ready workers
+    private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
+    private static final double SHUN_MOST = 1 / 3.; // of the ready workers
+    private static final double SLOW = 3;          // times as slow as its peers: shunned like one that errs
+
+    private static final Duration SECOND = Duration.ofSeconds(1); // the design's pace of k
+
+    // --- Figures derived from the terms.
+    private final int self, routers, zone, mostExecutions;
+    private final Duration margin;      // before a time limit: two ticks, so that an answer is never late
+    private final Duration step;        // between looks at what waits
+    private final Duration[] target, memory;
+    private final double[] value, late, fairShare;
+    private final Repeat[] repeat;
+    private final Group[] group;
+    private final boolean second, mayProbe, mayCancel, mayOrder, loadsOnMiss, drops;
+    private final Duration comeBack;    // null: no advice
+    private final Duration keep, rationSpan, coldSpan, fallSpan;
+    private final double rationFree, rationShare, overShare, coldShare;
+    private final double coldBudget;    // of full capacity times span, for this router, at full warmth
+    private final Duration askEvery;    // null: the list comes by itself
+    private final SplittableRandom chance;
+
+    // --- What is remembered.
+    private final Slots<Worker> workers = new Slots<>();
+    private final Slots<Function> functions = new Slots<>();
+    private final Slots<Job> jobs = new Slots<>();
+    private final List<Job> waiting = new ArrayList<>();
+    private final Window orders = new Window();
+    private final Window arrivals = new Window();
+    private final Histogram[] usual;
+    private final Histogram stretch = new Histogram(RATIOS);
+    private final Histogram failing = new Histogram(BAD);
+    private final double[] customerCame;
+    private double allCame;
+    private int listing;
+    private boolean wholeList;
+    private int ready, ordersOut;
+    private double ordersMost;
+    private Duration now = Duration.ZERO;
+    private Duration nextSecond = Duration.ZERO, nextAsk = Duration.ZERO;
+    private Duration nextStep;
+    private Decisions out;
+
+    public Decide(Terms t, long seed) {
+        chance = new SplittableRandom(seed);
+        self = t.self();
+        routers = Math.max(1, t.routers());
+        zone = t.zone();
+        margin = t.tick().multipliedBy(2);
+        int n = t.workloads();
+        target = new Duration[n];
+        value = new double[n];
+        late = new double[n];
+        repeat = new Repeat[n];
+        group = new Group[n];
+        memory = new Duration[n];
+        usual = new Histogram[n];
+        Duration soonest = t.timeLimit(0);
+        for (int w = 0; w < n; w++) {
+            target[w] = t.startTarget(w);
+            value[w] = t.importance(w);
+            late[w] = t.lateShare(w);
+            repeat[w] = t.repeat(w);
+            group[w] = t.group(w);
+            memory[w] = t.memorySpan(w).minus(margin);
+            usual[w] = new Histogram(SPANS);
+            soonest = less(soonest, target[w]) ? soonest : target[w];
+        }
+        step = most(t.tick(), soonest.dividedBy(20));
+        fairShare = new double[t.customers()];
+        customerCame = new double[t.customers()];
+        double all = 0;
+        for (int c = 0; c < fairShare.length; c++) {
+            fairShare[c] = t.customerRate(c);
+            all += fairShare[c];
+        }
+        for (int c = 0; c < fairShare.length; c++) {
+            fairShare[c] /= Math.max(all, Double.MIN_NORMAL);
+        }
+        overShare = t.overShareWorth();
+        mostExecutions = t.mostExecutions();
+        second = t.secondExecutions();
+        mayProbe = t.mayProbe();
+        mayCancel = t.mayCancel();
+        comeBack = t.tellsComeBack() ? least(t.mostComeBack(), soonest) : null;
+        loadsOnMiss = t.loadsOnMiss();
+        mayOrder = t.mayOrder();
+        keep = t.keepAlive();
+        drops = t.memoryPrice() > 0 && mayOrder;
+        rationFree = t.loadsFree();
+        rationShare = t.loadsShare();
+        rationSpan = t.loadsSpan();
+        coldShare = t.coldShare();
+        coldSpan = t.coldSpan();
+        fallSpan = t.fallSpan();
+        coldBudget = t.fallMultiple() / routers;
+        askEvery = t.asksForList() ? t.askWithin().dividedBy(4) : null;
+    }
+
+    public void round(Duration at, Incoming in, Decisions to) {
+        now = at;
+        out = to;
+        in.into(this);
+        if (askEvery != null && !less(now, nextAsk)) {
+            out.subscribe();
+            nextAsk = now.plus(askEvery);
+        }
+        if (!less(now, nextSecond)) {
+            eachSecond();
+            nextSecond = now.plus(SECOND);
+        }
+        placeWaiting();
+        if (nextStep == null || !less(now, nextStep)) {
+            out.wake(step, 0);
+            nextStep = now.plus(step);
+        }
+    }
+
+    // ------------------------------------------------------------------ the ordinary path
+
+    /** The design's path: the first of k copies in hash order that is not beyond the bound, else onward. */
+    private boolean place(Job j) {
+        Function f = j.function;
+        Worker[] order = order(f);
+        Worker best = null;
+        Worker unknown = null;
+        Worker stray = null;
+        double least = Double.MAX_VALUE;
+        int seen = 0;
+        for (Worker w : order) {
+            if (seen >= f.target && best != null) { break; }
+            if (shunned(w)) { continue; }
+            seen++;
+            Belief b = belief(f, w);
+            if (b != Belief.STANDS && (b != Belief.UNKNOWN || seen > f.target) || !maySend(j, w)) {
+                continue;
+            }
+            if (b == Belief.UNKNOWN) {
+                unknown = unknown == null ? w : unknown;
+            } else if (seen > f.target) {
+                stray = stray == null ? w : stray;
+            } else if (load(f, w) < least - (best == null ? 0 : STEP_ASIDE)) {
+                best = w;
+                least = load(f, w);
+            }
+        }
+        Worker to = best != null ? best : unknown != null ? unknown : stray;
+        if (to == null && loadsOnMiss) {
+            to = firstAble(j, order); // the worker loads by itself while the job waits there
+        }
+        if (to != null && load(f, to) > bound(to) * to.slowness) {
+            f.pressed++;
+            to = null;
+        }
+        if (to == null) {
+            if (!anyOnItsWay(f)) { holdFirst(f); }
+            return false;
+        }
+        send(j, to);
+        return true;
+    }
+
+    private Worker firstAble(Job j, Worker[] order) {
+        for (Worker w : order) {
+            if (!shunned(w) && maySend(j, w)) { return w; }
+        }
+        return null;
+    }
+
+    private boolean anyOnItsWay(Function f) {
+        int seen = 0;
+        for (Worker w : order(f)) {
+            if (!shunned(w) && seen++ < f.target
+                && (f.at(w).belief == Belief.ORDERED || f.at(w).belief == Belief.STANDS)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Orders the first of the k copies that does not stand. */
+    private void holdFirst(Function f) {
+        int seen = 0;
+        for (Worker w : order(f)) {
+            if (shunned(w)) { continue; }
+            Belief b = belief(f, w);
+            if (seen++ >= f.target || (b == Belief.ABSENT || b == Belief.UNKNOWN) && hold(f, w)) { return; }
+        }
+    }
+
+    /** All ready workers, by rendezvous hashing of worker and function: the same order at every router. */
+    private Worker[] order(Function f) {
+        if (f.orderOf != listing) {
+            List<Worker> all = new ArrayList<>();
+            for (Worker w : workers) {
+                if (w.standing == Standing.READY) { all.add(w); }
+            }
+            all.sort(Comparator.comparingLong((Worker w) -> mix(w.mark ^ mix(f.mark))).reversed());
+            f.order = all.toArray(new Worker[0]);
+            f.orderOf = listing;
+        }
+        return f.order;
+    }
+
+    private static long mix(long x) {
+        x = (x ^ (x >>> 30)) * 0xbf58476d1ce4e5b9L;
+        x = (x ^ (x >>> 27)) * 0x94d049bb133111ebL;
+        return x ^ (x >>> 31);
+    }
+
+    /** What a further job would meet: own jobs, half of what others are thought to hold, by slowness. */
+    private double load(Function f, Worker w) {
+        boolean fresh = w.reported != null && less(now.minus(w.reported), SECOND);
+        double others = fresh && !Double.isNaN(w.held) ? w.held - w.flying : f.at(w).crowd;
+        return (w.flying + 1 + Math.max(0, others) / 2) * w.slowness;
+    }
+
+    /** In-flight is bounded by measured rate times time: what it finishes for us in a target. */
+    private double bound(Worker w) {
+        return Math.max(3, w.took.total() / 2 * seconds(target[0]) / 2 * 2);
+    }
+
+    /** Each second: k rises past the load mark, falls after some seconds under the unload mark. */
+    private void eachSecond() {
+        double all = (stretch.sum() + 4) / (stretch.total() + 4);
+        for (Worker w : workers) {
+            w.slowness = Math.max(0.5, (w.slow.sum() + 4 * all) / (w.slow.total() + 4) / all);
+            if (w.slowness > SLOW && w.slow.total() >= 4) { strike(w); }
+            w.slow.halve();
+            w.bad.halve();
+            w.took.halve();
+        }
+        stretch.halve();
+        failing.halve();
+        int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
+        for (Function f : functions) {
+            pace(f, cap);
+            if (f.open == 0 && !less(now.minus(f.used), keep.multipliedBy(2))) {
+                functions.set(f.id, null);
+                out.forgetFunction(f.id);
+            }
+        }
+        for (int c = 0; c < customerCame.length; c++) {
+            customerCame[c] /= 2;
+        }
+        allCame /= 2;
+    }
+
+    private void pace(Function f, int cap) {
+        double n = f.crowd.total();
+        double crowd = n > 0 ? f.crowd.sum() / n : 0;
+        boolean past = n >= 2 && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came;
+        if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
+        if (past && f.target < cap) {
+            f.target++;
+        } else if (f.target > 1 && !less(now.minus(f.busySince), times(keep, FALL_AFTER))) {
+            Worker last = nth(f, f.target);
+            f.target--;
+            f.busySince = now;
+            if (drops && last != null && f.at(last).belief == Belief.STANDS) {
+                out.drop(last.id, f.id); // only where idle memory is priced; else the copy expires by itself
+                f.at(last).belief = Belief.UNKNOWN;
+            }
+        }
+        f.target = Math.min(f.target, Math.max(1, cap));
+        if (f.came > 0) { holdFirst(f); }
+        f.crowd.halve();
+        f.came = 0;
+        f.pressed = 0;
+    }
+
+    private Worker nth(Function f, int n) {
+        Worker[] order = order(f);
+        return n <= order.length ? order[n - 1] : null;
+    }
+
+    private Belief belief(Function f, Worker w) {
+        Copy c = f.at(w);
+        if (c.belief == Belief.STANDS && !less(now.minus(c.used), keep)) {
+            c.belief = Belief.UNKNOWN;
+        }
+        return c.belief;
+    }
+
+    // ------------------------------------------------------------------ what comes in
+
+    @Override public void job(int job, int workload, int customer, int function, long mark, Duration limit,
+                              Duration hint, double size, int lanes, Duration load, boolean again) {
+        Function f = functions.get(function);
+        if (f == null) {
+            f = new Function(function, mark, CROWD);
+            f.busySince = now;
+            functions.set(function, f);
+        }
+        f.lanes = lanes;
+        f.load = load;
+        f.used = now;
+        f.came++;
+        f.open++;
+        Job j = new Job(job, workload, customer, f, now, limit, hint);
+        boolean over = false;
+        if (customer < customerCame.length) {
+            customerCame[customer]++;
+            allCame++;
+            over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] * allCame;
+        }
+        j.value = value[workload] * (over ? overShare : 1);
+        jobs.set(job, j);
+        if (rationShare > 0) { arrivals.add(now); }
+        if (!place(j)) { await(j); }
+    }
+
+    private void await(Job j) {
+        if (!j.closed && !j.waiting) {
+            j.waiting = true;
+            j.function.waiting++;
+            waiting.add(j);
+        }
+    }
+
+    /** Places what waits, the most valuable first; gives up at once what can no longer be worth its place. */
+    private void placeWaiting() {
+        if (waiting.isEmpty()) { return; }
+        waiting.sort(Comparator.comparingDouble((Job j) -> -worthNow(j)).thenComparing(j -> j.arrived));
+        double rate = 0;
+        for (Worker w : workers) {
+            rate += w.took.total() / 2;
+        }
+        List<Job> still = new ArrayList<>();
+        int ahead = 0;
+        for (Job j : waiting) {
+            if (j.closed || !j.waiting) { continue; }
+            if (place(j)) {
+                unwait(j);
+                continue;
+            }
+            boolean forCopy = !anyStands(j.function);
+            boolean tooLate = !less(now.plus(usualTook(j.workload)).plus(margin), j.limit);
+            boolean pastTarget = !forCopy && !less(now.minus(j.arrived), target[j.workload]);
+            boolean crowdedOut = !forCopy && ahead > Math.max(8, rate * seconds(target[j.workload]));
+            if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
+                giveUp(j);
+                continue;
+            }
+            ahead += forCopy ? 0 : 1;
+            still.add(j);
+        }
+        waiting.clear();
+        waiting.addAll(still);
+    }
+
+    private boolean anyStands(Function f) {
+        for (Worker w : order(f)) {
+            if (f.at(w).belief == Belief.STANDS) { return true; }
+        }
+        return false;
+    }
+
+    private double worthNow(Job j) {
+        return less(now.minus(j.arrived), target[j.workload]) ? j.value : j.value * late[j.workload];
+    }
+
+    private void unwait(Job j) {
+        if (j.waiting) {
+            j.waiting = false;
+            j.function.waiting--;
+        }
+    }
+
+    @Override public void ended(int job, int execution, int worker, End end, Duration took, boolean closed,
+                                int crowd, double busy, double held, double queued) {
+        Job j = jobs.get(job);
+        Worker w = workers.get(worker);
+        Execution x = j.executions.get(execution);
+        Copy c = j.function.at(w);
+        x.done = true;
+        j.outstanding--;
+        w.flying--;
+        report(w, busy, held);
+        if (crowd >= 0) {
+            c.crowd = crowd;
+            j.function.crowd.add((double) crowd / j.function.lanes);
+        }
+        judge(j, x, w, end, took);
+        if (end == End.FINISHED) {
+            c.belief = Belief.STANDS;
+            c.used = now;
+        } else if (end == End.MISS) {
+            if (c.belief != Belief.ORDERED) { c.belief = Belief.ABSENT; }
+            if (hold(j.function, w)) { askOthers(j.function); }
+        }
+        if (!end.neverRan) { j.mayHaveRun++; }
+        if (closed) {
+            close(j);
+        } else if (!j.closed && j.outstanding == 0) {
+            if (end != End.MISS) { j.failedAt.set(worker); }
+            again(j);
+        }
+        settle(j);
+    }
+
+    /** After an execution without an answer: another one where allowed, else the final answer. */
+    private void again(Job j) {
+        boolean may = j.executions.size() < mostExecutions
+            && (j.mayHaveRun == 0 || repeat[j.workload] != Repeat.RUN_ONCE)
+            && less(now.plus(margin).plus(usualTook(j.workload)), j.limit);
+        if (!may) {
+            giveUp(j);
+        } else if (!place(j)) {
+            await(j);
+        }
+    }
+
+    /** A miss at home may mean that the copies are elsewhere: asking costs a probe, and moves no copy. */
+    private void askOthers(Function f) {
+        if (f.asked != null && less(now.minus(f.asked), keep)) { return; }
+        f.asked = now;
+        for (Worker w : order(f)) {
+            if (!shunned(w) && belief(f, w) == Belief.UNKNOWN) {
+                w.orders++;
+                f.at(w).asked = true;
+                out.hold(w.id, f.id, 0);
+            }
+        }
+    }
+
+    @Override public void orderEnded(int worker, int function, End end, Duration took, int standing) {
+        Worker w = workers.get(worker);
+        Function f = functions.get(function);
+        if (w == null || f == null) { return; }
+        w.orders--;
+        Copy c = f.at(w);
+        if (c.asked && c.belief != Belief.ORDERED) {
+            c.asked = false;
+            c.belief = standing > 0 ? Belief.STANDS : c.belief == Belief.UNKNOWN ? Belief.ABSENT : c.belief;
+            c.used = standing > 0 ? now : c.used;
+            return;
+        }
+        if (c.belief != Belief.ORDERED) { return; }
+        ordersOut--;
+        c.belief = standing > 0 ? Belief.STANDS : Belief.ABSENT;
+        c.used = now;
+        boolean well = end == End.FINISHED && less(took, keep.dividedBy(3));
+        ordersMost = well ? ordersMost + 1 / ordersMost : Math.max(1, ordersMost / 2);
+        if (end == End.NO_CONNECTION || end == End.BROKEN) { fail(w, true); }
+    }
+
+    @Override public void left(int job) {
+        Job j = jobs.get(job);
+        close(j);
+        if (mayCancel) {
+            for (int i = 0; i < j.executions.size(); i++) {
+                if (!j.executions.get(i).done) { out.cancel(j.id, i); }
+            }
+        }
+        settle(j);
+    }
+
+    @Override public void streamBegan(int job, int execution) {
+        jobs.get(job).streaming = true;
+    }
+
+    @Override public void timer(long token) {
+        nextStep = null;
+    }
+
+    @Override public void probed(int worker, End end, Duration took, double busy, double held,
+                                 double queued) {
+        Worker w = workers.get(worker);
+        if (w != null) {
+            report(w, busy, held);
+            if (end != End.FINISHED) { fail(w, true); }
+        }
+    }
+
+    private void report(Worker w, double busy, double held) {
+        if (!Double.isNaN(busy) || !Double.isNaN(held)) {
+            w.busy = busy;
+            w.held = held;
+            w.reported = now;
+        }
+    }
+
+    // ------------------------------------------------------------------ the list of workers
+
+    @Override public void listBegins(boolean whole) {
+        wholeList = whole;
+        for (Worker w : workers) {
+            w.named = false;
+        }
+    }
+
+    @Override public void worker(int worker, long mark, Standing standing, int zone, int cell, int kind,
+                                 double size, Duration started) {
+        Worker w = workers.get(worker);
+        if (w == null) {
+            w = new Worker(worker, mark, RATIOS, BAD, BAD);
+            w.started = started;
+            workers.set(worker, w);
+        }
+        if (started != null && !started.equals(w.started)) {
+            for (Function f : functions) { // a new process: empty, cold and not to blame for the old one
+                if (f.at(w).belief != Belief.ORDERED) { f.at(w).belief = Belief.ABSENT; }
+            }
+            w.slow.clear();
+            w.bad.clear();
+            w.shunned = null;
+            w.strikes = 0;
+        }
+        w.named = true;
+        w.standing = standing;
+        w.zone = zone;
+        w.cell = cell;
+        w.size = size;
+        w.started = started;
+    }
+
+    @Override public void listEnds() {
+        ready = 0;
+        for (Worker w : workers) {
+            if (wholeList && !w.named) { w.standing = Standing.GONE; }
+            ready += w.standing == Standing.READY ? 1 : 0;
+        }
+        ordersMost = ordersMost == 0 ? 1 + (double) ready / routers : ordersMost;
+        listing++;
+    }
+
+    @Override public void listFailed() {
+        nextAsk = now.plus(least(askEvery == null ? SECOND : askEvery, SECOND));
+    }
+
+    // ------------------------------------------------------------------ health
+
+    /** Judges a worker by its own outcomes against its peers'; what proves nothing of it is left out. */
+    private void judge(Job j, Execution x, Worker w, End end, Duration took) {
+        if (end == End.FINISHED) {
+            w.took.add(0);
+            if (x.stood) {
+                double u = seconds(j.hint != null && !j.hint.isZero() ? j.hint : usualTook(j.workload));
+                w.slow.add(seconds(took) / u);
+                stretch.add(seconds(took) / u);
+                usual[j.workload].add(seconds(took) / seconds(target[j.workload]));
+            }
+            w.bad.add(0);
+            failing.add(0);
+            if (w.onTrial) {
+                w.onTrial = false;
+                w.strikes = 0;
+            }
+        } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION) {
+            fail(w, end == End.NO_CONNECTION);
+        }
+    }
+
+    private void fail(Worker w, boolean surely) {
+        w.bad.add(1);
+        failing.add(1);
+        double share = (failing.from(1) + 1) / (failing.total() + 10);
+        if (surely || w.onTrial || w.bad.from(1) >= 2 && w.bad.from(1) > 2 * share * w.bad.total()) {
+            strike(w);
+        }
+    }
+
+    /** Shuns a worker for a while, longer each time, as long as not too many are shunned already. */
+    private void strike(Worker w) {
+        if (shunned(w)) { return; }
+        int n = 0;
+        for (Worker o : workers) {
+            n += o.standing == Standing.READY && shunned(o) ? 1 : 0;
+        }
+        if (n + 1 > ready * SHUN_MOST) { return; }
+        w.shunned = now.plus(SECOND.multipliedBy(1L << Math.min(3, w.strikes++)));
+        w.onTrial = true;
+        w.slow.clear();
+        w.bad.clear();
+    }
+
+    private boolean shunned(Worker w) {
+        return w.shunned != null && (less(now, w.shunned) || w.onTrial && w.flying > 0);
+    }
+
+    private Duration usualTook(int workload) {
+        double q = usual[workload].quantile(0.5);
+        return times(target[workload], Double.isNaN(q) ? 0.25 : q);
+    }
+
+    // ------------------------------------------------------------------ guards: each rule in one place
+
+    /** Rules 2, 3 and 4: whether this job may be sent to this worker now. */
+    private boolean maySend(Job j, Worker w) {
+        if (j.closed || w.standing != Standing.READY || j.executions.size() >= mostExecutions
+            || j.failedAt.get(w.id) && j.failedAt.cardinality() < ready
+            || j.outstanding > 0 && (!second || repeat[j.workload] == Repeat.RUN_ONCE)
+            || !less(now.plus(margin), j.limit)) {
+            return false;
+        }
+        if (j.mayHaveRun + j.outstanding > 0) {
+            if (repeat[j.workload] == Repeat.RUN_ONCE) { return false; }
+            if (repeat[j.workload] == Repeat.FINGERPRINTED
+                && (!less(now.minus(j.anchored), memory[j.workload])
+                || group[j.workload] == Group.ZONE && w.zone != j.anchor.zone
+                || group[j.workload] == Group.CELL && (w.cell != j.anchor.cell || w.zone != j.anchor.zone))) {
+                return false;
+            }
+        }
+        return warmEnough(w);
+    }
+
+    /** Rule 4: this router's part of what a cold worker can take; a part below one job goes by turns. */
+    private boolean warmEnough(Worker w) {
+        if (w.started == null || !less(now.minus(w.started), coldSpan)) { return true; }
+        int sent = w.coldSends.within(now, fallSpan);
+        double age = Math.max(0, seconds(now.minus(w.started)));
+        double since = Math.max(0, age - seconds(fallSpan));
+        double warmth = coldShare + (1 - coldShare) * since / seconds(coldSpan);
+        double rate = 0; // jobs a second that a warm worker surely bears: one at a time, at the usual pace
+        for (int i = 0; i < target.length; i++) {
+            double r = 1 / seconds(usualTook(i));
+            rate = i == 0 ? r : Math.min(rate, r);
+        }
+        double part = coldBudget * warmth * rate * seconds(fallSpan);
+        if (part >= 1) { return sent < Math.floor(part); }
+        return sent == 0 && (long) (age / seconds(fallSpan)) % routers == self;
+    }
+
+    private void send(Job j, Worker w) {
+        Execution x = new Execution(w.id, now, belief(j.function, w) == Belief.STANDS);
+        j.executions.add(x);
+        j.outstanding++;
+        if (j.mayHaveRun == 0 && j.outstanding == 1) {
+            j.anchor = w;
+            j.anchored = now;
+        }
+        w.flying++;
+        j.function.at(w).used = now;
+        if (w.started != null && less(now.minus(w.started), coldSpan)) { w.coldSends.add(now); }
+        out.send(j.id, w.id, j.limit.minus(now).minus(margin));
+    }
+
+    /** Rules 3 and 5, and the shared store's pace: whether an order goes out, and the order itself. */
+    private boolean hold(Function f, Worker w) {
+        Copy c = f.at(w);
+        if (!mayOrder || w.standing != Standing.READY || c.belief == Belief.ORDERED || shunned(w)
+            || ordersOut >= Math.max(1, ordersMost)) {
+            return false;
+        }
+        if (rationSpan.compareTo(Duration.ZERO) > 0) {
+            if (orders.within(now, rationSpan.plus(margin)) + 1
+                > rationFree + rationShare * arrivals.within(now, rationSpan.minus(margin))) {
+                return false;
+            }
+            orders.add(now);
+        }
+        c.belief = Belief.ORDERED;
+        c.ordered = now;
+        ordersOut++;
+        w.orders++;
+        out.hold(w.id, f.id, 1);
+        return true;
+    }
+
+    /** Rule 1 and 2: the one final answer, at once; a pushback only where a repeat is harmless. */
+    private void giveUp(Job j) {
+        if (j.closed) { return; }
+        boolean harmless = switch (repeat[j.workload]) {
+            case RESTARTABLE -> true;
+            case FINGERPRINTED -> j.mayHaveRun + j.outstanding == 0 || group[j.workload] == Group.ALL;
+            case RUN_ONCE -> j.mayHaveRun + j.outstanding == 0;
+        };
+        if (harmless) {
+            out.pushBack(j.id, comeBack);
+        } else {
+            out.kill(j.id);
+        }
+        close(j);
+        settle(j);
+    }
+
+    private void close(Job j) {
+        if (!j.closed) {
+            unwait(j);
+            j.closed = true;
+            j.function.open--;
+        }
+    }
+
+    /** A closed job is forgotten with its last execution's end. */
+    private void settle(Job j) {
+        if (j.closed && j.outstanding == 0 && jobs.get(j.id) == j) {
+            jobs.set(j.id, null);
+            out.forgetJob(j.id);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/port/Feed.java
@@ -0,0 +1,41 @@
+package switchgap.port;
+
+import java.time.Duration;
+
+/**
+ * What a router hears, one call an event. Ids are small indices that the caller assigns and may hand out
+ * again once {@link Decisions} has forgotten them; times are spans since the router's start. Values that
+ * did not come are null, NaN or, for counts, below zero.
+ */
+public interface Feed {
+    /** A list of workers begins; a whole one replaces what was held. Its entries follow, then its end. */
+    void listBegins(boolean whole);
+
+    /** One worker; {@code mark} is its id as all routers see it, {@code started} null if long past. */
+    void worker(int worker, long mark, Standing standing, int zone, int cell, int kind, double size,
+                Duration started);
+
+    void listEnds();
+
+    void listFailed();
+
+    /** A job was taken: it is owed one final answer before {@code limit}. */
+    void job(int job, int workload, int customer, int function, long mark, Duration limit, Duration hint,
+             double memory, int lanes, Duration load, boolean repeat);
+
+    void streamBegan(int job, int execution);
+
+    /** An execution ended; {@code closed} if the job has its answer. {@code crowd}: jobs met there. */
+    void ended(int job, int execution, int worker, End end, Duration took, boolean closed, int crowd,
+               double busy, double held, double queued);
+
+    /** The client left; nothing more is owed. */
+    void left(int job);
+
+    void timer(long token);
+
+    void probed(int worker, End end, Duration took, double busy, double held, double queued);
+
+    /** An order to hold copies ended, with the number that stand. */
+    void orderEnded(int worker, int function, End end, Duration took, int standing);
+}
--- /dev/null
+++ b/src/main/java/switchgap/port/Repeat.java
@@ -0,0 +1,4 @@
+package switchgap.port;
+
+/** Whether a workload's jobs may run again. */
+public enum Repeat { RESTARTABLE, FINGERPRINTED, RUN_ONCE }
--- /dev/null
+++ b/src/main/java/switchgap/port/Terms.java
@@ -0,0 +1,79 @@
+package switchgap.port;
+
+import java.time.Duration;
+
+/** What the operator states at a router's start. */
+public interface Terms {
+    int self();
+
+    int routers();
+
+    int zone();
+
+    Duration tick();
+
+    int workloads();
+
+    Duration startTarget(int workload);
+
+    Duration timeLimit(int workload);
+
+    double importance(int workload);
+
+    /** The share of the importance that an answer after the start target still earns. */
+    double lateShare(int workload);
+
+    Repeat repeat(int workload);
+
+    Group group(int workload);
+
+    Duration memorySpan(int workload);
+
+    int customers();
+
+    /** Jobs a second within the customer's share, all routers together. */
+    double customerRate(int customer);
+
+    double overShareWorth();
+
+    int mostExecutions();
+
+    boolean secondExecutions();
+
+    boolean mayProbe();
+
+    boolean mayCancel();
+
+    boolean tellsComeBack();
+
+    Duration mostComeBack();
+
+    double coldShare();
+
+    Duration coldSpan();
+
+    double fallMultiple();
+
+    Duration fallSpan();
+
+    boolean loadsOnMiss();
+
+    boolean mayOrder();
+
+    Duration keepAlive();
+
+    double loadsFree();
+
+    double loadsShare();
+
+    Duration loadsSpan();
+
+    double memoryPrice();
+
+    double crossingPrice();
+
+    /** Whether the list must be asked for, and how often at the least. */
+    boolean asksForList();
+
+    Duration askWithin();
+}
--- /dev/null
+++ b/src/main/java/switchgap/simhost/Instance.java
@@ -0,0 +1,275 @@
+package switchgap.simhost;
+
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import switchgap.Decide;
+import switchgap.port.Decisions;
+import switchgap.port.End;
+import switchgap.port.Feed;
+import switchgap.port.Incoming;
+import switchgap.port.Standing;
+import switchgap.state.Ids;
+
+/** One router: its events decoded into the module's calls, the module's decisions encoded as records. */
+final class Instance implements Incoming, Decisions {
+    private static final int FAILED_LIST = 1;
+    private static final int DELTA_LIST = 0;
+    private static final long U32 = 0xffffffffL;
+    private final int who;
+    private final long born;
+    private final Reply reply;
+    private final Ids jobs = new Ids();
+    private final Ids workers = new Ids();
+    private final Ids functions = new Ids();
+    private final List<byte[]> lists = new ArrayList<>();
+    private int[] records = new int[16];
+    private int taken;
+    private ByteBuffer body;
+    private Decide decide;
+    private boolean crowds;
+    private int busyAt;
+    private int heldAt;
+    private int queuedAt;
+
+    Instance(int who, long clock, long seed, String info, Reply reply) {
+        this.who = who;
+        this.born = clock;
+        this.reply = reply;
+        try {
+            StatedTerms terms = new StatedTerms(info);
+            crowds = terms.tellsCrowd();
+            busyAt = terms.field("load_share");
+            heldAt = terms.field("concurrent");
+            queuedAt = terms.field("depth");
+            decide = new Decide(terms, seed);
+        } catch (RuntimeException e) {
+            fault(e);
+        }
+    }
+
+    void take(int at, byte[] list) {
+        if (taken == records.length) {
+            records = Arrays.copyOf(records, taken * 2);
+        }
+        records[taken++] = at;
+        if (list != null) {
+            lists.add(list);
+        }
+    }
+
+    void round(ByteBuffer frame, long clock) {
+        body = frame;
+        if (decide != null) {
+            try {
+                decide.round(micros(clock - born), this, this);
+            } catch (RuntimeException e) {
+                fault(e);
+                decide = null;
+            }
+        }
+        taken = 0;
+        lists.clear();
+    }
+
+    private void fault(RuntimeException e) {
+        StackTraceElement[] at = e.getStackTrace();
+        reply.text(reply.record(10, who) + 3, e + (at.length > 0 ? " at " + at[0] : ""));
+    }
+
+    private static Duration micros(long us) {
+        return Duration.ofNanos(us * 1000);
+    }
+
+    private static long micros(Duration d) {
+        return d.toNanos() / 1000;
+    }
+
+    private long server(int at) {
+        return (body.getInt(at) & U32) << 16 | body.getShort(at + 4) & 0xffffL;
+    }
+
+    private void putServer(int at, int worker) {
+        long name = workers.name(worker);
+        reply.fields().putInt(at, (int) (name >>> 16)).putShort(at + 4, (short) name);
+    }
+
+    private double report(int at, int field) {
+        return field >= 0 && field < (body.get(at) & 0xff) ? body.getFloat(at + 1 + 4 * field) : Double.NaN;
+    }
+
+    private static End end(int code) {
+        return switch (code) {
+            case 0 -> End.FINISHED;
+            case 13 -> End.ERROR;
+            case 8 -> End.FULL;
+            case 4 -> End.TIMED_OUT;
+            case 14 -> End.NO_CONNECTION;
+            case 10 -> End.BROKEN;
+            case 1 -> End.CANCELLED;
+            case 9 -> End.NOT_SENT;
+            case 5 -> End.MISS;
+            default -> throw new IllegalArgumentException("unknown outcome " + code);
+        };
+    }
+
+    @Override public void into(Feed feed) {
+        int list = 0;
+        for (int i = 0; i < taken; i++) {
+            int at = records[i];
+            int code = body.get(at) & 0xff;
+            switch (code) {
+                case 3 -> {
+                    int job = jobs.find(body.getLong(at + 3));
+                    if (job >= 0) {
+                        feed.left(job);
+                    }
+                }
+                case 4 -> {
+                    int worker = workers.find(server(at + 3));
+                    if (worker >= 0) {
+                        feed.probed(worker, end(body.get(at + 9)), micros(body.getInt(at + 10) & U32),
+                            report(at + 14, busyAt), report(at + 14, heldAt), report(at + 14, queuedAt));
+                    }
+                }
+                case 6 -> {
+                    if (body.get(at + 11) == FAILED_LIST) {
+                        feed.listFailed();
+                    } else {
+                        list(feed, lists.get(list++), body.get(at + 11) != DELTA_LIST);
+                    }
+                }
+                case 7 -> {
+                    int job = jobs.find(body.getLong(at + 3));
+                    if (job >= 0) {
+                        feed.streamBegan(job, body.getShort(at + 21) & 0xffff);
+                    }
+                }
+                case 8 -> ended(feed, at);
+                case 10 -> feed.timer(body.getLong(at + 3));
+                case 11 -> {
+                    int worker = workers.find(server(at + 3));
+                    int function = functions.find(body.getLong(at + 14));
+                    if (worker >= 0 && function >= 0) {
+                        feed.orderEnded(worker, function, end(body.get(at + 22)),
+                            micros(body.getInt(at + 9) & U32), body.get(at + 13) & 0xff);
+                    }
+                }
+                case 12 -> job(feed, at);
+                default -> { } // a peer's message: nothing is shared
+            }
+        }
+    }
+
+    private void ended(Feed feed, int at) {
+        int job = jobs.find(body.getLong(at + 3));
+        int worker = workers.find(server(at + 13));
+        if (job < 0 || worker < 0) {
+            return;
+        }
+        End end = end(body.get(at + 19));
+        boolean told = crowds && (end == End.FINISHED || end == End.FULL);
+        feed.ended(job, body.getShort(at + 11) & 0xffff, worker, end, micros(body.getInt(at + 20) & U32),
+            body.get(at + 24) != 0, told ? (body.get(at + 25) & 0xff) >> 3 : -1,
+            report(at + 26, busyAt), report(at + 26, heldAt), report(at + 26, queuedAt));
+    }
+
+    private void job(Feed feed, int at) {
+        long mark = body.getLong(at + 16);
+        int marks = body.getShort(at + 48);
+        float load = body.getFloat(at + 44);
+        feed.job(jobs.add(body.getLong(at + 3)), body.get(at + 11) & 0xff, body.getInt(at + 12),
+            functions.add(mark), mark, micros(body.getLong(at + 24) - born),
+            (marks & 1) == 0 ? null : micros(body.getInt(at + 32) & U32),
+            body.getFloat(at + 36), Math.max(1, Math.round(body.getFloat(at + 40))),
+            load > 0 ? micros(Math.round(load * 1000.0)) : null, (marks & 2) != 0);
+    }
+
+    private void list(Feed feed, byte[] bytes, boolean whole) {
+        ByteBuffer b = ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
+        feed.listBegins(whole);
+        for (int at = 0; at < bytes.length; at += Host.ENTRY) {
+            Standing standing = switch (b.get(at)) {
+                case 0 -> Standing.GONE;
+                case 1 -> Standing.READY;
+                default -> Standing.DRAINING;
+            };
+            long started = b.getLong(at + 3);
+            long name = (b.getInt(at + 13) & U32) << 16 | b.getShort(at + 17) & 0xffffL;
+            feed.worker(workers.add(name), name, standing, b.getShort(at + 1) & 0xffff,
+                b.getShort(at + 11) & 0xffff, b.getShort(at + 19) & 0xffff, b.getFloat(at + 21),
+                started == 0 ? null : micros(started - born));
+        }
+        feed.listEnds();
+    }
+
+    @Override public void send(int job, int worker, Duration allow) {
+        int at = reply.record(1, who);
+        reply.fields().putLong(at + 3, jobs.name(job)).putInt(at + 17, (int) micros(allow));
+        putServer(at + 11, worker);
+    }
+
+    @Override public void pushBack(int job, Duration comeBack) {
+        int at = reply.record(2, who);
+        reply.fields().putLong(at + 3, jobs.name(job)).putInt(at + 11, comeBack == null ? 0 : (int) micros(comeBack));
+    }
+
+    @Override public void kill(int job) {
+        int at = reply.record(3, who);
+        reply.fields().putLong(at + 3, jobs.name(job));
+    }
+
+    @Override public void cancel(int job, int execution) {
+        int at = reply.record(4, who);
+        reply.fields().putLong(at + 3, jobs.name(job)).putShort(at + 11, (short) execution);
+    }
+
+    @Override public void wake(Duration after, long token) {
+        int at = reply.record(5, who);
+        reply.fields().putInt(at + 3, (int) micros(after)).putLong(at + 7, token);
+    }
+
+    @Override public void probe(int worker) {
+        putServer(reply.record(6, who) + 3, worker);
+    }
+
+    @Override public void note(String text) {
+        reply.text(reply.record(9, who) + 3, text);
+    }
+
+    @Override public void subscribe() {
+        int at = reply.record(11, who);
+        reply.fields().put(at + 3, (byte) 1);
+    }
+
+    @Override public void askForList() {
+        reply.record(12, who);
+    }
+
+    @Override public void hold(int worker, int function, int copies) {
+        int at = reply.record(13, who);
+        putServer(at + 3, worker);
+        reply.fields().putLong(at + 9, functions.name(function)).put(at + 17, (byte) copies);
+    }
+
+    @Override public void drop(int worker, int function) {
+        int at = reply.record(14, who);
+        putServer(at + 3, worker);
+        reply.fields().putLong(at + 9, functions.name(function));
+    }
+
+    @Override public void forgetJob(int job) {
+        jobs.release(job);
+    }
+
+    @Override public void forgetFunction(int function) {
+        functions.release(function);
+    }
+
+    @Override public void forgetWorker(int worker) {
+        workers.release(worker);
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/simhost/StatedTerms.java
@@ -0,0 +1,164 @@
+package switchgap.simhost;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import switchgap.port.Group;
+import switchgap.port.Repeat;
+import switchgap.port.Terms;
+
+/** The wire's path=value lines, read as terms; unknown lines are ignored, a needed one must be there. */
+final class StatedTerms implements Terms {
+    private final Map<String, String> lines = new HashMap<>();
+
+    StatedTerms(String info) {
+        for (String line : info.split("\n")) {
+            int eq = line.indexOf('=');
+            if (eq > 0) {
+                lines.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
+            }
+        }
+    }
+
+    private String text(String path) {
+        String v = lines.get(path);
+        if (v == null) {
+            throw new IllegalArgumentException("setting " + path + " is absent");
+        }
+        return v;
+    }
+
+    private double real(String path) {
+        String v = text(path);
+        try {
+            return Double.parseDouble(v);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("setting " + path + " is no number: " + v, e);
+        }
+    }
+
+    private int whole(String path) {
+        return (int) real(path);
+    }
+
+    private Duration span(String path) {
+        return Duration.ofNanos(Math.round(real(path) * 1000));
+    }
+
+    private boolean flag(String path) {
+        String v = text(path);
+        if (!v.equals("true") && !v.equals("false")) {
+            throw new IllegalArgumentException("setting " + path + " is neither true nor false: " + v);
+        }
+        return v.equals("true");
+    }
+
+    /** One of the wire's words for a choice, each standing for the value at its place. */
+    private <T> T choice(String path, String[] words, T[] values) {
+        String v = text(path);
+        for (int i = 0; i < words.length; i++) {
+            if (words[i].equals(v)) {
+                return values[i];
+            }
+        }
+        throw new IllegalArgumentException("setting " + path + " has an unknown word: " + v);
+    }
+
+    private static String lane(int workload, String name) {
+        return "Lanes." + workload + "." + name;
+    }
+
+    /** The place of a load report's field, or -1. */
+    int field(String word) {
+        String all = lines.get("Telemetry.Fields");
+        String[] words = all == null ? new String[0] : all.split(",");
+        for (int i = 0; i < words.length; i++) {
+            if (words[i].equals(word)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    boolean tellsCrowd() {
+        return lines.getOrDefault("Extra.SaysCompany", "false").equals("true");
+    }
+
+    @Override public int self() { return whole("Me"); }
+
+    @Override public int routers() { return whole("Balancers"); }
+
+    @Override public int zone() { return whole("MyZone"); }
+
+    @Override public Duration tick() { return span("TickUs"); }
+
+    @Override public int workloads() { return whole("Lanes.count"); }
+
+    @Override public Duration startTarget(int w) { return span(lane(w, "AimUs")); }
+
+    @Override public Duration timeLimit(int w) { return span(lane(w, "DeadlineUs")); }
+
+    @Override public double importance(int w) { return real(lane(w, "Worth")); }
+
+    @Override public double lateShare(int w) { return real(lane(w, "LateValue")); }
+
+    @Override public Repeat repeat(int w) {
+        return choice(lane(w, "Effect"), new String[] {"retryable", "dedup", "fragile"}, Repeat.values());
+    }
+
+    @Override public Group group(int w) {
+        return choice(lane(w, "Group"), new String[] {"all", "zone", "cell"}, Group.values());
+    }
+
+    @Override public Duration memorySpan(int w) { return span(lane(w, "MemorySpanUs")); }
+
+    @Override public int customers() { return lines.containsKey("Tenants.count") ? whole("Tenants.count") : 0; }
+
+    @Override public double customerRate(int c) { return real("Tenants." + c + ".QuotaPerS"); }
+
+    @Override public double overShareWorth() { return real("OverShareWorth"); }
+
+    @Override public int mostExecutions() { return whole("Limits.MaxAttempts"); }
+
+    @Override public boolean secondExecutions() { return flag("Limits.SecondCopies"); }
+
+    @Override public boolean mayProbe() { return flag("Limits.Probes"); }
+
+    @Override public boolean mayCancel() { return flag("Limits.Cancel"); }
+
+    @Override public boolean tellsComeBack() { return flag("Limits.RetryAfter"); }
+
+    @Override public Duration mostComeBack() { return span("Limits.MaxRetryAfterUs"); }
+
+    @Override public double coldShare() { return real("Guarantees.ColdFrom"); }
+
+    @Override public Duration coldSpan() { return span("Guarantees.ColdUs"); }
+
+    @Override public double fallMultiple() { return real("Guarantees.FallMultiple"); }
+
+    @Override public Duration fallSpan() { return span("Guarantees.OverloadForUs"); }
+
+    @Override public boolean loadsOnMiss() {
+        return choice("Extra.IfCold", new String[] {"load", "miss"}, new Boolean[] {true, false});
+    }
+
+    @Override public boolean mayOrder() { return flag("Extra.PlacementCalls"); }
+
+    @Override public Duration keepAlive() { return span("Extra.IdleLifeUs"); }
+
+    @Override public double loadsFree() { return real("Extra.LoadFree"); }
+
+    @Override public double loadsShare() { return real("Extra.LoadRatio"); }
+
+    @Override public Duration loadsSpan() { return span("Extra.LoadSpanUs"); }
+
+    @Override public double memoryPrice() { return real("Extra.MemoryPrice"); }
+
+    @Override public double crossingPrice() { return real("Costs.CrossZone"); }
+
+    @Override public boolean asksForList() {
+        return choice("Discovery", new String[] {"subscribe", "automatic"}, new Boolean[] {true, false});
+    }
+
+    @Override public Duration askWithin() { return span("Guarantees.AskWithinUs"); }
+}
--- /dev/null
+++ b/src/main/java/switchgap/state/Copy.java
@@ -0,0 +1,15 @@
+package switchgap.state;
+
+import java.time.Duration;
+
+/** What is believed of a function's copies at one worker. */
+public final class Copy {
+    /** UNKNOWN: not heard of lately; ORDERED: a hold order is out. */
+    public enum Belief { UNKNOWN, ABSENT, ORDERED, STANDS }
+
+    public Belief belief = Belief.UNKNOWN;
+    public Duration used;
+    public Duration ordered;
+    public boolean asked;
+    public double crowd;
+}
--- /dev/null
+++ b/src/main/java/switchgap/state/Function.java
@@ -0,0 +1,38 @@
+package switchgap.state;
+
+import java.time.Duration;
+
+/** A function: its copy target, its workers in hash order and what is believed of its copies. */
+public final class Function {
+    public final int id;
+    public final long mark;
+    public final Histogram crowd;
+    public int lanes = 1;
+    public Duration load;
+    public int target = 1;
+    public Worker[] order = {};
+    public int orderOf = -1;
+    public int open;
+    public int waiting;
+    public int came;
+    public int pressed;
+    public Duration used;
+    public Duration busySince;
+    public Duration asked;
+    private final Slots<Copy> copies = new Slots<>();
+
+    public Function(int id, long mark, double[] crowdEdges) {
+        this.id = id;
+        this.mark = mark;
+        this.crowd = new Histogram(crowdEdges);
+    }
+
+    public Copy at(Worker w) {
+        Copy c = copies.get(w.id);
+        return c == null ? copies.set(w.id, new Copy()) : c;
+    }
+
+    public void forget(int worker) {
+        copies.set(worker, null);
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/state/Job.java
@@ -0,0 +1,38 @@
+package switchgap.state;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+
+/** A job taken and what has become of it. */
+public final class Job {
+    public final int id;
+    public final int workload;
+    public final int customer;
+    public final Function function;
+    public final Duration arrived;
+    public final Duration limit;
+    public final Duration hint;
+    public final List<Execution> executions = new ArrayList<>(2);
+    public final BitSet failedAt = new BitSet();
+    public double value;
+    public int outstanding;
+    public int mayHaveRun;
+    public Worker anchor;
+    public Duration anchored;
+    public boolean closed;
+    public boolean waiting;
+    public boolean streaming;
+
+    public Job(int id, int workload, int customer, Function function, Duration arrived, Duration limit,
+               Duration hint) {
+        this.id = id;
+        this.workload = workload;
+        this.customer = customer;
+        this.function = function;
+        this.arrived = arrived;
+        this.limit = limit;
+        this.hint = hint;
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/state/Slots.java
@@ -0,0 +1,32 @@
+package switchgap.state;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+
+/** Things by small index; looping passes over the empty places, in the order of the indices. */
+public final class Slots<T> implements Iterable<T> {
+    private final List<T> slots = new ArrayList<>();
+
+    public T get(int index) {
+        return index < slots.size() ? slots.get(index) : null;
+    }
+
+    public T set(int index, T thing) {
+        while (slots.size() <= index) {
+            slots.add(null);
+        }
+        slots.set(index, thing);
+        return thing;
+    }
+
+    @Override public Iterator<T> iterator() {
+        List<T> all = new ArrayList<>();
+        for (T each : slots) {
+            if (each != null) {
+                all.add(each);
+            }
+        }
+        return all.iterator();
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/state/Window.java
@@ -0,0 +1,21 @@
+package switchgap.state;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+
+/** The times at which something happened, as far back as the caller asks. */
+public final class Window {
+    private final ArrayDeque<Duration> times = new ArrayDeque<>();
+
+    public void add(Duration now) {
+        times.add(now);
+    }
+
+    /** How often in the span up to now; what is older is dropped for good. */
+    public int within(Duration now, Duration span) {
+        while (!times.isEmpty() && span.compareTo(now.minus(times.peekFirst())) < 0) {
+            times.pollFirst();
+        }
+        return times.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/state/Worker.java
@@ -0,0 +1,38 @@
+package switchgap.state;
+
+import java.time.Duration;
+
+import switchgap.port.Standing;
+
+/** A worker: what the list says of it and what this router has seen of it. */
+public final class Worker {
+    public final int id;
+    public final long mark;
+    public final Histogram slow;
+    public final Histogram bad;
+    public final Histogram took;
+    public final Window coldSends = new Window();
+    public Standing standing = Standing.GONE;
+    public boolean named;
+    public int zone;
+    public int cell;
+    public double size;
+    public Duration started;
+    public int flying;
+    public int orders;
+    public int strikes;
+    public boolean onTrial;
+    public Duration shunned;
+    public double held = Double.NaN;
+    public double busy = Double.NaN;
+    public Duration reported;
+    public double slowness = 1;
+
+    public Worker(int id, long mark, double[] slowEdges, double[] badEdges, double[] tookEdges) {
+        this.id = id;
+        this.mark = mark;
+        this.slow = new Histogram(slowEdges);
+        this.bad = new Histogram(badEdges);
+        this.took = new Histogram(tookEdges);
+    }
+}
