--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -29,6 +29,7 @@
     private static final double FALL_AFTER = 1;    // of the keep-alive
     private static final double MOST_COPIES = 0.5; // of the ready workers
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
+    private static final double ROOM = 10;         // jobs at a worker, all routers together, before any rate is known
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
     private static final double SLOW = 3;          // times as slow as its peers: shunned like one that errs
 
@@ -37,7 +38,7 @@
     // --- Figures derived from the terms.
     private final int self, routers, zone, mostExecutions;
     private final Duration margin;      // before a time limit: two ticks, so that an answer is never late
-    private final Duration step;        // between looks at what waits
+    private final Duration step, soonest; // between looks at what waits; the shortest start target
     private final Duration[] target, memory;
     private final double[] value, late, fairShare;
     private final Repeat[] repeat;
@@ -85,7 +86,7 @@
         group = new Group[n];
         memory = new Duration[n];
         usual = new Histogram[n];
-        Duration soonest = t.timeLimit(0);
+        Duration first = t.timeLimit(0);
         for (int w = 0; w < n; w++) {
             target[w] = t.startTarget(w);
             value[w] = t.importance(w);
@@ -94,8 +95,9 @@
             group[w] = t.group(w);
             memory[w] = t.memorySpan(w).minus(margin);
             usual[w] = new Histogram(SPANS);
-            soonest = less(soonest, target[w]) ? soonest : target[w];
+            first = least(first, target[w]);
         }
+        soonest = first;
         step = most(t.tick(), soonest.dividedBy(20));
         fairShare = new double[t.customers()];
         customerCame = new double[t.customers()];
@@ -178,9 +180,9 @@
         if (to == null && loadsOnMiss) {
             to = firstAble(j, order); // the worker loads by itself while the job waits there
         }
-        if (to != null && load(f, to) > bound(to) * to.slowness) {
+        if (to != null && !hasRoom(to)) {
             f.pressed++;
-            to = null;
+            to = onward(j, order);
         }
         if (to == null) {
             if (!anyOnItsWay(f)) { holdFirst(f); }
@@ -190,6 +192,25 @@
         return true;
     }
 
+    private boolean hasRoom(Worker w) {
+        return w.flying < bound(w) && (w.rest == null || !less(now, w.rest));
+    }
+
+    /** Beyond the bound at all k copies: the next copy in hash order that stands, and one more if none does. */
+    private Worker onward(Job j, Worker[] order) {
+        Function f = j.function;
+        for (Worker w : order) {
+            if (!shunned(w) && belief(f, w) == Belief.STANDS && hasRoom(w) && maySend(j, w)) { return w; }
+        }
+        for (Worker w : order) {
+            if (!shunned(w) && f.at(w).belief != Belief.STANDS && hasRoom(w)) {
+                if (f.at(w).belief != Belief.ORDERED) { hold(f, w); }
+                return null;
+            }
+        }
+        return null;
+    }
+
     private Worker firstAble(Job j, Worker[] order) {
         for (Worker w : order) {
             if (!shunned(w) && maySend(j, w)) { return w; }
@@ -245,9 +266,11 @@
         return (w.flying + 1 + Math.max(0, others) / 2) * w.slowness;
     }
 
-    /** In-flight is bounded by measured rate times time: what it finishes for us in a target. */
+    /** In-flight is bounded by measured rate times time, half a target, and a few jobs shared by the routers. */
     private double bound(Worker w) {
-        return Math.max(3, w.took.total() / 2 * seconds(target[0]) / 2 * 2);
+        double n = w.took.total();
+        double spent = n < 1 ? 0 : w.took.sum() / n; // of a start target, on average
+        return Math.max(1, (ROOM / routers + n / 1.5 * seconds(soonest) / 2) * Math.min(1, 0.5 / spent));
     }
 
     /** Each second: k rises past the load mark, falls after some seconds under the unload mark. */
@@ -524,7 +547,7 @@
                                  double size, Duration started) {
         Worker w = workers.get(worker);
         if (w == null) {
-            w = new Worker(worker, mark, RATIOS, BAD, BAD);
+            w = new Worker(worker, mark, RATIOS, BAD, SPANS);
             w.started = started;
             workers.set(worker, w);
         }
@@ -564,7 +587,7 @@
     /** Judges a worker by its own outcomes against its peers'; what proves nothing of it is left out. */
     private void judge(Job j, Execution x, Worker w, End end, Duration took) {
         if (end == End.FINISHED) {
-            w.took.add(0);
+            w.took.add(seconds(took) / seconds(target[j.workload]));
             if (x.stood) {
                 double u = seconds(j.hint != null && !j.hint.isZero() ? j.hint : usualTook(j.workload));
                 w.slow.add(seconds(took) / u);
@@ -577,6 +600,8 @@
                 w.onTrial = false;
                 w.strikes = 0;
             }
+        } else if (end == End.FULL) {
+            w.rest = now.plus(soonest.dividedBy(4)); // its waiting room is full, whoever filled it: let it drain
         } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION) {
             fail(w, end == End.NO_CONNECTION);
         }
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -23,6 +23,7 @@
     public int strikes;
     public boolean onTrial;
     public Duration shunned;
+    public Duration rest;
     public double held = Double.NaN;
     public double busy = Double.NaN;
     public Duration reported;
