--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -28,6 +28,7 @@
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
     private static final double MOST_COPIES = 0.5; // of the ready workers
+    private static final double MEMORY = 0.5;      // of the workers' memory: as far as targets may plan to fill it
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, all routers together, before any rate is known
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
@@ -40,7 +41,7 @@
     private final Duration margin;      // before a time limit: two ticks, so that an answer is never late
     private final Duration step, soonest; // between looks at what waits; the shortest start target
     private final Duration[] target, memory;
-    private final double[] value, late, fairShare;
+    private final double[] value, late, fairShare, kindMemory;
     private final Repeat[] repeat;
     private final Group[] group;
     private final boolean second, mayProbe, mayCancel, mayOrder, loadsOnMiss, drops;
@@ -66,6 +67,7 @@
     private int listing;
     private boolean wholeList;
     private int ready, ordersOut;
+    private double room, planned;        // memory of all ready workers; what the copies at their targets take
     private double ordersMost;
     private Duration now = Duration.ZERO;
     private Duration nextSecond = Duration.ZERO, nextAsk = Duration.ZERO;
@@ -118,6 +120,7 @@
         loadsOnMiss = t.loadsOnMiss();
         mayOrder = t.mayOrder();
         keep = t.keepAlive();
+        kindMemory = t.kindMemory();
         drops = t.memoryPrice() > 0 && mayOrder;
         rationFree = t.loadsFree();
         rationShare = t.loadsShare();
@@ -204,7 +207,7 @@
         }
         for (Worker w : order) {
             if (!shunned(w) && f.at(w).belief != Belief.STANDS && hasRoom(w)) {
-                if (f.at(w).belief != Belief.ORDERED) { hold(f, w); }
+                if (f.at(w).belief != Belief.ORDERED && planned + f.size <= MEMORY * room) { hold(f, w); }
                 return null;
             }
         }
@@ -286,6 +289,10 @@
         stretch.halve();
         failing.halve();
         int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
+        planned = 0;
+        for (Function f : functions) {
+            planned += less(now.minus(f.used), keep) ? f.target * f.size : 0;
+        }
         for (Function f : functions) {
             pace(f, cap);
             if (f.open == 0 && !less(now.minus(f.used), keep.multipliedBy(2))) {
@@ -304,8 +311,9 @@
         double crowd = n > 0 ? f.crowd.sum() / n : 0;
         boolean past = n >= 2 && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came;
         if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
-        if (past && f.target < cap) {
+        if (past && f.target < cap && planned + f.size <= MEMORY * room) {
             f.target++;
+            planned += f.size;
         } else if (f.target > 1 && !less(now.minus(f.busySince), times(keep, FALL_AFTER))) {
             Worker last = nth(f, f.target);
             f.target--;
@@ -346,6 +354,7 @@
             functions.set(function, f);
         }
         f.lanes = lanes;
+        f.size = size;
         f.load = load;
         f.used = now;
         f.came++;
@@ -564,15 +573,19 @@
         w.standing = standing;
         w.zone = zone;
         w.cell = cell;
-        w.size = size;
+        w.memory = kind < kindMemory.length ? kindMemory[kind] : 0;
         w.started = started;
     }
 
     @Override public void listEnds() {
         ready = 0;
+        room = 0;
         for (Worker w : workers) {
             if (wholeList && !w.named) { w.standing = Standing.GONE; }
-            ready += w.standing == Standing.READY ? 1 : 0;
+            if (w.standing == Standing.READY) {
+                ready++;
+                room += w.memory;
+            }
         }
         ordersMost = ordersMost == 0 ? 1 + (double) ready / routers : ordersMost;
         listing++;
--- a/src/main/java/switchgap/port/Terms.java
+++ b/src/main/java/switchgap/port/Terms.java
@@ -70,6 +70,9 @@
 
     double memoryPrice();
 
+    /** Memory of each kind of worker, in MB. */
+    double[] kindMemory();
+
     double crossingPrice();
 
     /** Whether the list must be asked for, and how often at the least. */
--- a/src/main/java/switchgap/simhost/StatedTerms.java
+++ b/src/main/java/switchgap/simhost/StatedTerms.java
@@ -1,6 +1,7 @@
 package switchgap.simhost;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import switchgap.port.Group;
@@ -154,6 +155,14 @@
 
     @Override public double memoryPrice() { return real("Extra.MemoryPrice"); }
 
+    @Override public double[] kindMemory() {
+        try {
+            return Arrays.stream(text("Extra.MachineMb").split(",")).mapToDouble(Double::parseDouble).toArray();
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("setting Extra.MachineMb is no list of numbers", e);
+        }
+    }
+
     @Override public double crossingPrice() { return real("Costs.CrossZone"); }
 
     @Override public boolean asksForList() {
--- a/src/main/java/switchgap/state/Function.java
+++ b/src/main/java/switchgap/state/Function.java
@@ -8,6 +8,7 @@
     public final long mark;
     public final Histogram crowd;
     public int lanes = 1;
+    public double size;
     public Duration load;
     public int target = 1;
     public Worker[] order = {};
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -16,7 +16,7 @@
     public boolean named;
     public int zone;
     public int cell;
-    public double size;
+    public double memory;
     public Duration started;
     public int flying;
     public int orders;
