Hash order weighted by told size or memory; hopeless waits pushed back early

Cause: slow kinds were home to as many functions as fast ones (haarlem p99 3.4 s); jobs placed late in overload.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -44,7 +44,7 @@
     private final double[] value, late, fairShare, kindMemory;
     private final Repeat[] repeat;
     private final Group[] group;
-    private final boolean second, mayProbe, mayCancel, mayOrder, loadsOnMiss, drops;
+    private final boolean second, mayProbe, sizesTold, mayCancel, mayOrder, loadsOnMiss, drops;
     private final Duration comeBack;    // null: no advice
     private final Duration keep, rationSpan, coldSpan, fallSpan;
     private final double rationFree, rationShare, overShare, coldShare;
@@ -121,6 +121,7 @@
         mayOrder = t.mayOrder();
         keep = t.keepAlive();
         kindMemory = t.kindMemory();
+        sizesTold = t.sizesTold();
         drops = t.memoryPrice() > 0 && mayOrder;
         rationFree = t.loadsFree();
         rationShare = t.loadsShare();
@@ -249,13 +250,19 @@
             for (Worker w : workers) {
                 if (w.standing == Standing.READY) { all.add(w); }
             }
-            all.sort(Comparator.comparingLong((Worker w) -> mix(w.mark ^ mix(f.mark))).reversed());
+            all.sort(Comparator.comparingDouble((Worker w) -> -draw(f, w)).thenComparingLong(w -> w.mark));
             f.order = all.toArray(new Worker[0]);
             f.orderOf = listing;
         }
         return f.order;
     }
 
+    /** Weighted by told size, else by memory: a worker of half the size is home to half as many functions. */
+    private static double draw(Function f, Worker w) {
+        double u = ((mix(w.mark ^ mix(f.mark)) >>> 11) + 0.5) / (1L << 53);
+        return -w.weight / Math.log(u);
+    }
+
     private static long mix(long x) {
         x = (x ^ (x >>> 30)) * 0xbf58476d1ce4e5b9L;
         x = (x ^ (x >>> 27)) * 0x94d049bb133111ebL;
@@ -398,7 +405,7 @@
             }
             boolean forCopy = !anyStands(j.function);
             boolean tooLate = !less(now.plus(usualTook(j.workload)).plus(margin), j.limit);
-            boolean pastTarget = !forCopy && !less(now.minus(j.arrived), target[j.workload]);
+            boolean pastTarget = !forCopy && !less(now.minus(j.arrived).plus(usualTook(j.workload)), target[j.workload]);
             boolean crowdedOut = !forCopy && ahead > Math.max(8, rate * seconds(target[j.workload]));
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
@@ -574,6 +581,7 @@
         w.zone = zone;
         w.cell = cell;
         w.memory = kind < kindMemory.length ? kindMemory[kind] : 0;
+        w.weight = sizesTold && size > 0 ? size : Math.max(1, w.memory);
         w.started = started;
     }
 
--- a/src/main/java/switchgap/port/Terms.java
+++ b/src/main/java/switchgap/port/Terms.java
@@ -75,6 +75,9 @@
 
     double crossingPrice();
 
+    /** Whether the list tells sizes that stay as they are and can be compared. */
+    boolean sizesTold();
+
     /** Whether the list must be asked for, and how often at the least. */
     boolean asksForList();
 
--- a/src/main/java/switchgap/simhost/StatedTerms.java
+++ b/src/main/java/switchgap/simhost/StatedTerms.java
@@ -163,6 +163,11 @@
         }
     }
 
+    @Override public boolean sizesTold() {
+        return choice("Weights", new String[] {"silent", "nominal", "rough", "live"},
+            new Boolean[] {false, true, true, false});
+    }
+
     @Override public double crossingPrice() { return real("Costs.CrossZone"); }
 
     @Override public boolean asksForList() {
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -17,6 +17,7 @@
     public int zone;
     public int cell;
     public double memory;
+    public double weight;
     public Duration started;
     public int flying;
     public int orders;
