--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -279,8 +279,8 @@
     /** In-flight is bounded by measured rate times time, half a target, and a few jobs shared by the routers. */
     private double bound(Worker w) {
         double n = w.took.total();
-        double spent = n < 1 ? 0 : w.took.sum() / n; // of a start target, on average
-        return Math.max(1, (ROOM / routers + n / 1.5 * seconds(soonest) / 2) * Math.min(1, 0.5 / spent));
+        double spent = n < 1 ? 0 : w.took.quantile(0.5); // of a start target; the median is blind to loads
+        return Math.max(1, (ROOM / routers + n / 1.5 * seconds(soonest) / 2) * Math.min(1, 0.15 / spent));
     }
 
     /** Each second: k rises past the load mark, falls after some seconds under the unload mark. */
