Jobs that wait for a load do not fill a worker's bound where a miss loads

Cause: on hive a load of 1-2 s held a place of the bound, so other functions at home there were sent onward and began more loads.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -32,7 +32,7 @@
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, all routers together, before any rate is known
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
-    private static final double SLOW = 3;          // times as slow as its peers: shunned like one that errs
+    private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
 
     private static final Duration SECOND = Duration.ofSeconds(1); // the design's pace of k
 
@@ -197,7 +197,7 @@
     }
 
     private boolean hasRoom(Worker w) {
-        return w.flying < bound(w) && (w.rest == null || !less(now, w.rest));
+        return w.flying - w.loading < bound(w) && (w.rest == null || !less(now, w.rest));
     }
 
     /** Beyond the bound at all k copies: the next copy in hash order that stands, and one more if none does. */
@@ -273,7 +273,7 @@
     private double load(Function f, Worker w) {
         boolean fresh = w.reported != null && less(now.minus(w.reported), SECOND);
         double others = fresh && !Double.isNaN(w.held) ? w.held - w.flying : f.at(w).crowd;
-        return (w.flying + 1 + Math.max(0, others) / 2) * w.slowness;
+        return (w.flying - w.loading + 1 + Math.max(0, others) / 2) * w.slowness;
     }
 
     /** In-flight is bounded by measured rate times time, half a target, and a few jobs shared by the routers. */
@@ -331,7 +331,7 @@
             }
         }
         f.target = Math.min(f.target, Math.max(1, cap));
-        if (f.came > 0) { holdFirst(f); }
+        if (f.came > 0 && !(loadsOnMiss && f.target == 1)) { holdFirst(f); }
         f.crowd.halve();
         f.came = 0;
         f.pressed = 0;
@@ -445,6 +445,7 @@
         x.done = true;
         j.outstanding--;
         w.flying--;
+        w.loading -= x.stood || !loadsOnMiss ? 0 : 1;
         report(w, busy, held);
         if (crowd >= 0) {
             c.crowd = crowd;
@@ -708,6 +709,7 @@
             j.anchored = now;
         }
         w.flying++;
+        w.loading += x.stood || !loadsOnMiss ? 0 : 1; // waits for the load, takes no core
         j.function.at(w).used = now;
         if (w.started != null && less(now.minus(w.started), coldSpan)) { w.coldSends.add(now); }
         out.send(j.id, w.id, j.limit.minus(now).minus(margin));
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -20,6 +20,7 @@
     public double weight;
     public Duration started;
     public int flying;
+    public int loading;
     public int orders;
     public int strikes;
     public boolean onTrial;
