--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -4,9 +4,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import switchgap.port.*;
 import switchgap.state.*;
 import switchgap.state.Copy.Belief;
@@ -28,23 +30,21 @@
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
     private static final double MOST_COPIES = 0.5; // of the ready workers
-    private static final double MEMORY = 0.5;      // of the workers' memory: as far as targets may plan to fill it
+    private static final double MEMORY = 0.5;      // of the workers' memory: as far as targets may fill it
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
-    private static final double ROOM = 10;         // jobs at a worker, all routers together, before any rate is known
+    private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
     private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
 
     private static final Duration SECOND = Duration.ofSeconds(1); // the design's pace of k
 
     // --- Figures derived from the terms.
-    private final int self, routers, zone, mostExecutions;
+    private final int self, routers, mostExecutions;
     private final Duration margin;      // before a time limit: two ticks, so that an answer is never late
     private final Duration step, soonest; // between looks at what waits; the shortest start target
-    private final Duration[] target, memory;
-    private final double[] value, late, fairShare, kindMemory;
-    private final Repeat[] repeat;
-    private final Group[] group;
-    private final boolean second, mayProbe, sizesTold, mayCancel, mayOrder, loadsOnMiss, drops;
+    private final Workload[] workloads;
+    private final double[] fairShare, kindMemory;
+    private final boolean second, sizesTold, mayCancel, mayOrder, loadsOnMiss, drops;
     private final Duration comeBack;    // null: no advice
     private final Duration keep, rationSpan, coldSpan, fallSpan;
     private final double rationFree, rationShare, overShare, coldShare;
@@ -59,7 +59,6 @@
     private final List<Job> waiting = new ArrayList<>();
     private final Window orders = new Window();
     private final Window arrivals = new Window();
-    private final Histogram[] usual;
     private final Histogram stretch = new Histogram(RATIOS);
     private final Histogram failing = new Histogram(BAD);
     private final double[] customerCame;
@@ -78,43 +77,23 @@
         chance = new SplittableRandom(seed);
         self = t.self();
         routers = Math.max(1, t.routers());
-        zone = t.zone();
         margin = t.tick().multipliedBy(2);
-        int n = t.workloads();
-        target = new Duration[n];
-        value = new double[n];
-        late = new double[n];
-        repeat = new Repeat[n];
-        group = new Group[n];
-        memory = new Duration[n];
-        usual = new Histogram[n];
-        Duration first = t.timeLimit(0);
-        for (int w = 0; w < n; w++) {
-            target[w] = t.startTarget(w);
-            value[w] = t.importance(w);
-            late[w] = t.lateShare(w);
-            repeat[w] = t.repeat(w);
-            group[w] = t.group(w);
-            memory[w] = t.memorySpan(w).minus(margin);
-            usual[w] = new Histogram(SPANS);
-            first = least(first, target[w]);
+        workloads = new Workload[t.workloads()];
+        Duration first = t.startTarget(0);
+        for (int i = 0; i < workloads.length; i++) {
+            workloads[i] = new Workload(t, i, SPANS);
+            first = least(first, workloads[i].target);
         }
         soonest = first;
         step = most(t.tick(), soonest.dividedBy(20));
         fairShare = new double[t.customers()];
         customerCame = new double[t.customers()];
-        double all = 0;
         for (int c = 0; c < fairShare.length; c++) {
             fairShare[c] = t.customerRate(c);
-            all += fairShare[c];
-        }
-        for (int c = 0; c < fairShare.length; c++) {
-            fairShare[c] /= Math.max(all, Double.MIN_NORMAL);
         }
         overShare = t.overShareWorth();
         mostExecutions = t.mostExecutions();
         second = t.secondExecutions();
-        mayProbe = t.mayProbe();
         mayCancel = t.mayCancel();
         comeBack = t.tellsComeBack() ? least(t.mostComeBack(), soonest) : null;
         loadsOnMiss = t.loadsOnMiss();
@@ -157,23 +136,16 @@
     /** The design's path: the first of k copies in hash order that is not beyond the bound, else onward. */
     private boolean place(Job j) {
         Function f = j.function;
-        Worker[] order = order(f);
-        Worker best = null;
-        Worker unknown = null;
-        Worker stray = null;
+        List<Worker> able = able(f);
+        Worker best = null, unknown = null, stray = null;
         double least = Double.MAX_VALUE;
-        int seen = 0;
-        for (Worker w : order) {
-            if (seen >= f.target && best != null) { break; }
-            if (shunned(w)) { continue; }
-            seen++;
+        for (int i = 0; i < able.size() && (i < f.target || best == null); i++) {
+            Worker w = able.get(i);
             Belief b = belief(f, w);
-            if (b != Belief.STANDS && (b != Belief.UNKNOWN || seen > f.target) || !maySend(j, w)) {
-                continue;
-            }
+            if (b != Belief.STANDS && (b != Belief.UNKNOWN || i >= f.target) || !maySend(j, w)) { continue; }
             if (b == Belief.UNKNOWN) {
                 unknown = unknown == null ? w : unknown;
-            } else if (seen > f.target) {
+            } else if (i >= f.target) {
                 stray = stray == null ? w : stray;
             } else if (load(f, w) < least - (best == null ? 0 : STEP_ASIDE)) {
                 best = w;
@@ -182,14 +154,15 @@
         }
         Worker to = best != null ? best : unknown != null ? unknown : stray;
         if (to == null && loadsOnMiss) {
-            to = firstAble(j, order); // the worker loads by itself while the job waits there
+            to = first(able, w -> maySend(j, w)); // the worker loads by itself while the job waits there
         }
         if (to != null && !hasRoom(to)) {
             f.pressed++;
-            to = onward(j, order);
+            to = onward(j, able);
         }
         if (to == null) {
-            if (!anyOnItsWay(f)) { holdFirst(f); }
+            List<Worker> home = able.subList(0, Math.min(f.target, able.size()));
+            if (first(home, w -> coming(f, w)) == null) { holdFirst(f); }
             return false;
         }
         send(j, to);
@@ -200,49 +173,34 @@
         return w.flying - w.loading < bound(w) && (w.rest == null || !less(now, w.rest));
     }
 
-    /** Beyond the bound at all k copies: the next copy in hash order that stands, and one more if none does. */
-    private Worker onward(Job j, Worker[] order) {
+    /** Beyond the bound at all k copies: the next in hash order that stands, and one more if none does. */
+    private Worker onward(Job j, List<Worker> able) {
         Function f = j.function;
-        for (Worker w : order) {
-            if (!shunned(w) && belief(f, w) == Belief.STANDS && hasRoom(w) && maySend(j, w)) { return w; }
-        }
-        for (Worker w : order) {
-            if (!shunned(w) && f.at(w).belief != Belief.STANDS && hasRoom(w)) {
-                if (f.at(w).belief != Belief.ORDERED && planned + f.size <= MEMORY * room) { hold(f, w); }
-                return null;
-            }
-        }
-        return null;
+        Worker next = first(able, w -> belief(f, w) == Belief.STANDS && hasRoom(w) && maySend(j, w));
+        Worker more = next != null ? null : first(able, w -> f.at(w).belief != Belief.STANDS && hasRoom(w));
+        if (more != null && planned + f.size <= MEMORY * room) { hold(f, more); }
+        return next;
     }
 
-    private Worker firstAble(Job j, Worker[] order) {
-        for (Worker w : order) {
-            if (!shunned(w) && maySend(j, w)) { return w; }
-        }
-        return null;
+    private static Worker first(List<Worker> able, Predicate<Worker> fit) {
+        return able.stream().filter(fit).findFirst().orElse(null);
     }
 
-    private boolean anyOnItsWay(Function f) {
-        int seen = 0;
-        for (Worker w : order(f)) {
-            if (!shunned(w) && seen++ < f.target
-                && (f.at(w).belief == Belief.ORDERED || f.at(w).belief == Belief.STANDS)) {
-                return true;
-            }
-        }
-        return false;
+    private static boolean coming(Function f, Worker w) {
+        return f.at(w).belief == Belief.ORDERED || f.at(w).belief == Belief.STANDS;
     }
 
     /** Orders the first of the k copies that does not stand. */
     private void holdFirst(Function f) {
-        int seen = 0;
-        for (Worker w : order(f)) {
-            if (shunned(w)) { continue; }
-            Belief b = belief(f, w);
-            if (seen++ >= f.target || (b == Belief.ABSENT || b == Belief.UNKNOWN) && hold(f, w)) { return; }
+        for (Worker w : able(f).stream().limit(f.target).toList()) {
+            if (belief(f, w) != Belief.STANDS && hold(f, w)) { return; }
         }
     }
 
+    private List<Worker> able(Function f) {
+        return Arrays.stream(order(f)).filter(w -> !shunned(w)).toList();
+    }
+
     /** All ready workers, by rendezvous hashing of worker and function: the same order at every router. */
     private Worker[] order(Function f) {
         if (f.orderOf != listing) {
@@ -276,7 +234,7 @@
         return (w.flying - w.loading + 1 + Math.max(0, others) / 2) * w.slowness;
     }
 
-    /** In-flight is bounded by measured rate times time, half a target, and a few jobs shared by the routers. */
+    /** In-flight is bounded by measured rate times half a target, and a few jobs shared by the routers. */
     private double bound(Worker w) {
         double n = w.took.total();
         double spent = n < 1 ? 0 : w.took.quantile(0.5); // of a start target; the median is blind to loads
@@ -302,7 +260,7 @@
         }
         for (Function f : functions) {
             pace(f, cap);
-            if (f.open == 0 && !less(now.minus(f.used), keep.multipliedBy(2))) {
+            if (f.open == 0 && f.orders == 0 && !less(now.minus(f.used), keep.multipliedBy(2))) {
                 functions.set(f.id, null);
                 out.forgetFunction(f.id);
             }
@@ -322,8 +280,8 @@
             f.target++;
             planned += f.size;
         } else if (f.target > 1 && !less(now.minus(f.busySince), times(keep, FALL_AFTER))) {
-            Worker last = nth(f, f.target);
             f.target--;
+            Worker last = f.target < order(f).length ? order(f)[f.target] : null;
             f.busySince = now;
             if (drops && last != null && f.at(last).belief == Belief.STANDS) {
                 out.drop(last.id, f.id); // only where idle memory is priced; else the copy expires by itself
@@ -337,11 +295,6 @@
         f.pressed = 0;
     }
 
-    private Worker nth(Function f, int n) {
-        Worker[] order = order(f);
-        return n <= order.length ? order[n - 1] : null;
-    }
-
     private Belief belief(Function f, Worker w) {
         Copy c = f.at(w);
         if (c.belief == Belief.STANDS && !less(now.minus(c.used), keep)) {
@@ -366,23 +319,23 @@
         f.used = now;
         f.came++;
         f.open++;
-        Job j = new Job(job, workload, customer, f, now, limit, hint);
+        Job j = new Job(job, workloads[workload], f, now, limit, hint);
         boolean over = false;
         if (customer < customerCame.length) {
             customerCame[customer]++;
             allCame++;
-            over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] * allCame;
+            double all = Math.max(Arrays.stream(fairShare).sum(), Double.MIN_NORMAL);
+            over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
         }
-        j.value = value[workload] * (over ? overShare : 1);
+        j.value = j.of.value * (over ? overShare : 1);
         jobs.set(job, j);
-        if (rationShare > 0) { arrivals.add(now); }
+        if (!rationSpan.isZero()) { arrivals.add(now); }
         if (!place(j)) { await(j); }
     }
 
     private void await(Job j) {
         if (!j.closed && !j.waiting) {
             j.waiting = true;
-            j.function.waiting++;
             waiting.add(j);
         }
     }
@@ -400,13 +353,15 @@
         for (Job j : waiting) {
             if (j.closed || !j.waiting) { continue; }
             if (place(j)) {
-                unwait(j);
+                j.waiting = false;
                 continue;
             }
-            boolean forCopy = !anyStands(j.function);
-            boolean tooLate = !less(now.plus(usualTook(j.workload)).plus(margin), j.limit);
-            boolean pastTarget = !forCopy && !less(now.minus(j.arrived).plus(usualTook(j.workload)), target[j.workload]);
-            boolean crowdedOut = !forCopy && ahead > Math.max(8, rate * seconds(target[j.workload]));
+            Function f = j.function;
+            boolean forCopy = first(able(f), w -> f.at(w).belief == Belief.STANDS) == null;
+            boolean onItsWay = forCopy && first(able(f), w -> coming(f, w)) != null;
+            boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
+            boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
+            boolean crowdedOut = !forCopy && ahead > Math.max(8, rate * seconds(j.of.target));
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
                 continue;
@@ -418,22 +373,8 @@
         waiting.addAll(still);
     }
 
-    private boolean anyStands(Function f) {
-        for (Worker w : order(f)) {
-            if (f.at(w).belief == Belief.STANDS) { return true; }
-        }
-        return false;
-    }
-
     private double worthNow(Job j) {
-        return less(now.minus(j.arrived), target[j.workload]) ? j.value : j.value * late[j.workload];
-    }
-
-    private void unwait(Job j) {
-        if (j.waiting) {
-            j.waiting = false;
-            j.function.waiting--;
-        }
+        return less(now.minus(j.arrived), j.of.target) ? j.value : j.value * j.of.late;
     }
 
     @Override public void ended(int job, int execution, int worker, End end, Duration took, boolean closed,
@@ -472,8 +413,8 @@
     /** After an execution without an answer: another one where allowed, else the final answer. */
     private void again(Job j) {
         boolean may = j.executions.size() < mostExecutions
-            && (j.mayHaveRun == 0 || repeat[j.workload] != Repeat.RUN_ONCE)
-            && less(now.plus(margin).plus(usualTook(j.workload)), j.limit);
+            && (j.mayHaveRun == 0 || j.of.repeat != Repeat.RUN_ONCE)
+            && less(now.plus(margin).plus(usual(j.of)), j.limit);
         if (!may) {
             giveUp(j);
         } else if (!place(j)) {
@@ -488,6 +429,7 @@
         for (Worker w : order(f)) {
             if (!shunned(w) && belief(f, w) == Belief.UNKNOWN) {
                 w.orders++;
+                f.orders++;
                 f.at(w).asked = true;
                 out.hold(w.id, f.id, 0);
             }
@@ -500,8 +442,10 @@
         if (w == null || f == null) { return; }
         w.orders--;
         Copy c = f.at(w);
-        if (c.asked && c.belief != Belief.ORDERED) {
+        f.orders--;
+        if (c.asked) { // the answer to a question, which went out before any order
             c.asked = false;
+            if (c.belief == Belief.ORDERED) { return; }
             c.belief = standing > 0 ? Belief.STANDS : c.belief == Belief.UNKNOWN ? Belief.ABSENT : c.belief;
             c.used = standing > 0 ? now : c.used;
             return;
@@ -591,6 +535,7 @@
         room = 0;
         for (Worker w : workers) {
             if (wholeList && !w.named) { w.standing = Standing.GONE; }
+            if (w.standing == Standing.GONE && w.flying + w.orders == 0) { forget(w); }
             if (w.standing == Standing.READY) {
                 ready++;
                 room += w.memory;
@@ -600,6 +545,13 @@
         listing++;
     }
 
+    private void forget(Worker w) {
+        workers.set(w.id, null);
+        functions.forEach(f -> f.forget(w.id));
+        jobs.forEach(j -> j.failedAt.clear(w.id));
+        out.forgetWorker(w.id);
+    }
+
     @Override public void listFailed() {
         nextAsk = now.plus(least(askEvery == null ? SECOND : askEvery, SECOND));
     }
@@ -609,12 +561,12 @@
     /** Judges a worker by its own outcomes against its peers'; what proves nothing of it is left out. */
     private void judge(Job j, Execution x, Worker w, End end, Duration took) {
         if (end == End.FINISHED) {
-            w.took.add(seconds(took) / seconds(target[j.workload]));
+            w.took.add(seconds(took) / seconds(j.of.target));
             if (x.stood) {
-                double u = seconds(j.hint != null && !j.hint.isZero() ? j.hint : usualTook(j.workload));
+                double u = seconds(j.hint != null && !j.hint.isZero() ? j.hint : usual(j.of));
                 w.slow.add(seconds(took) / u);
                 stretch.add(seconds(took) / u);
-                usual[j.workload].add(seconds(took) / seconds(target[j.workload]));
+                j.of.took.add(seconds(took) / seconds(j.of.target));
             }
             w.bad.add(0);
             failing.add(0);
@@ -623,7 +575,7 @@
                 w.strikes = 0;
             }
         } else if (end == End.FULL) {
-            w.rest = now.plus(soonest.dividedBy(4)); // its waiting room is full, whoever filled it: let it drain
+            w.rest = now.plus(soonest.dividedBy(4)); // its waiting room is full: let it drain
         } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION) {
             fail(w, end == End.NO_CONNECTION);
         }
@@ -656,9 +608,9 @@
         return w.shunned != null && (less(now, w.shunned) || w.onTrial && w.flying > 0);
     }
 
-    private Duration usualTook(int workload) {
-        double q = usual[workload].quantile(0.5);
-        return times(target[workload], Double.isNaN(q) ? 0.25 : q);
+    private static Duration usual(Workload of) {
+        double q = of.took.quantile(0.5);
+        return times(of.target, Double.isNaN(q) ? 0.25 : q);
     }
 
     // ------------------------------------------------------------------ guards: each rule in one place
@@ -667,16 +619,16 @@
     private boolean maySend(Job j, Worker w) {
         if (j.closed || w.standing != Standing.READY || j.executions.size() >= mostExecutions
             || j.failedAt.get(w.id) && j.failedAt.cardinality() < ready
-            || j.outstanding > 0 && (!second || repeat[j.workload] == Repeat.RUN_ONCE)
+            || j.outstanding > 0 && (!second || j.of.repeat == Repeat.RUN_ONCE)
             || !less(now.plus(margin), j.limit)) {
             return false;
         }
         if (j.mayHaveRun + j.outstanding > 0) {
-            if (repeat[j.workload] == Repeat.RUN_ONCE) { return false; }
-            if (repeat[j.workload] == Repeat.FINGERPRINTED
-                && (!less(now.minus(j.anchored), memory[j.workload])
-                || group[j.workload] == Group.ZONE && w.zone != j.anchor.zone
-                || group[j.workload] == Group.CELL && (w.cell != j.anchor.cell || w.zone != j.anchor.zone))) {
+            if (j.of.repeat == Repeat.RUN_ONCE) { return false; }
+            if (j.of.repeat == Repeat.FINGERPRINTED
+                && (!less(now.minus(j.anchored), j.of.memory.minus(margin))
+                || j.of.group == Group.ZONE && w.zone != j.anchor.zone
+                || j.of.group == Group.CELL && (w.cell != j.anchor.cell || w.zone != j.anchor.zone))) {
                 return false;
             }
         }
@@ -690,10 +642,9 @@
         double age = Math.max(0, seconds(now.minus(w.started)));
         double since = Math.max(0, age - seconds(fallSpan));
         double warmth = coldShare + (1 - coldShare) * since / seconds(coldSpan);
-        double rate = 0; // jobs a second that a warm worker surely bears: one at a time, at the usual pace
-        for (int i = 0; i < target.length; i++) {
-            double r = 1 / seconds(usualTook(i));
-            rate = i == 0 ? r : Math.min(rate, r);
+        double rate = Double.MAX_VALUE; // jobs a second that a warm worker surely bears: one after the other
+        for (Workload each : workloads) {
+            rate = Math.min(rate, 1 / seconds(usual(each)));
         }
         double part = coldBudget * warmth * rate * seconds(fallSpan);
         if (part >= 1) { return sent < Math.floor(part); }
@@ -722,17 +673,16 @@
             || ordersOut >= Math.max(1, ordersMost)) {
             return false;
         }
-        if (rationSpan.compareTo(Duration.ZERO) > 0) {
-            if (orders.within(now, rationSpan.plus(margin)) + 1
-                > rationFree + rationShare * arrivals.within(now, rationSpan.minus(margin))) {
-                return false;
-            }
-            orders.add(now);
+        if (!rationSpan.isZero() && orders.within(now, rationSpan.plus(margin)) + 1
+            > rationFree + rationShare * arrivals.within(now, rationSpan.minus(margin))) {
+            return false;
         }
+        if (!rationSpan.isZero()) { orders.add(now); }
         c.belief = Belief.ORDERED;
         c.ordered = now;
         ordersOut++;
         w.orders++;
+        f.orders++;
         out.hold(w.id, f.id, 1);
         return true;
     }
@@ -740,13 +690,13 @@
     /** Rule 1 and 2: the one final answer, at once; a pushback only where a repeat is harmless. */
     private void giveUp(Job j) {
         if (j.closed) { return; }
-        boolean harmless = switch (repeat[j.workload]) {
+        boolean harmless = switch (j.of.repeat) {
             case RESTARTABLE -> true;
-            case FINGERPRINTED -> j.mayHaveRun + j.outstanding == 0 || group[j.workload] == Group.ALL;
+            case FINGERPRINTED -> j.mayHaveRun + j.outstanding == 0 || j.of.group == Group.ALL;
             case RUN_ONCE -> j.mayHaveRun + j.outstanding == 0;
         };
         if (harmless) {
-            out.pushBack(j.id, comeBack);
+            out.pushBack(j.id, comeBack == null ? null : times(comeBack, 0.5 + chance.nextDouble() / 2));
         } else {
             out.kill(j.id);
         }
@@ -756,7 +706,7 @@
 
     private void close(Job j) {
         if (!j.closed) {
-            unwait(j);
+            j.waiting = false;
             j.closed = true;
             j.function.open--;
         }
--- a/src/main/java/switchgap/state/Function.java
+++ b/src/main/java/switchgap/state/Function.java
@@ -14,7 +14,7 @@
     public Worker[] order = {};
     public int orderOf = -1;
     public int open;
-    public int waiting;
+    public int orders;
     public int came;
     public int pressed;
     public Duration used;
--- a/src/main/java/switchgap/state/Job.java
+++ b/src/main/java/switchgap/state/Job.java
@@ -8,8 +8,7 @@
 /** A job taken and what has become of it. */
 public final class Job {
     public final int id;
-    public final int workload;
-    public final int customer;
+    public final Workload of;
     public final Function function;
     public final Duration arrived;
     public final Duration limit;
@@ -25,11 +24,10 @@
     public boolean waiting;
     public boolean streaming;
 
-    public Job(int id, int workload, int customer, Function function, Duration arrived, Duration limit,
+    public Job(int id, Workload of, Function function, Duration arrived, Duration limit,
                Duration hint) {
         this.id = id;
-        this.workload = workload;
-        this.customer = customer;
+        this.of = of;
         this.function = function;
         this.arrived = arrived;
         this.limit = limit;
