Tests by printed traces; failed jobs go on along the hash order; k falls without counts

Cause, found by the traces: after an error a job with k = 1 waited for its home instead of the next worker; the mean of a halved histogram never fell, so k never did; a function whose order was out was forgotten.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -136,7 +136,7 @@
     /** The design's path: the first of k copies in hash order that is not beyond the bound, else onward. */
     private boolean place(Job j) {
         Function f = j.function;
-        List<Worker> able = able(f);
+        List<Worker> able = able(j);
         Worker best = null, unknown = null, stray = null;
         double least = Double.MAX_VALUE;
         for (int i = 0; i < able.size() && (i < f.target || best == null); i++) {
@@ -162,7 +162,7 @@
         }
         if (to == null) {
             List<Worker> home = able.subList(0, Math.min(f.target, able.size()));
-            if (first(home, w -> coming(f, w)) == null) { holdFirst(f); }
+            if (first(home, w -> coming(f, w)) == null) { holdFirst(f, home); }
             return false;
         }
         send(j, to);
@@ -170,7 +170,8 @@
     }
 
     private boolean hasRoom(Worker w) {
-        return w.flying - w.loading < bound(w) && (w.rest == null || !less(now, w.rest));
+        return w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
+            && (w.rest == null || !less(now, w.rest));
     }
 
     /** Beyond the bound at all k copies: the next in hash order that stands, and one more if none does. */
@@ -191,8 +192,8 @@
     }
 
     /** Orders the first of the k copies that does not stand. */
-    private void holdFirst(Function f) {
-        for (Worker w : able(f).stream().limit(f.target).toList()) {
+    private void holdFirst(Function f, List<Worker> copies) {
+        for (Worker w : copies) {
             if (belief(f, w) != Belief.STANDS && hold(f, w)) { return; }
         }
     }
@@ -201,6 +202,14 @@
         return Arrays.stream(order(f)).filter(w -> !shunned(w)).toList();
     }
 
+    /** For a job that failed at some workers the copies are the first k of the others, if any. */
+    private List<Worker> able(Job j) {
+        List<Worker> all = able(j.function);
+        if (j.failedAt.isEmpty()) { return all; }
+        List<Worker> others = all.stream().filter(w -> !j.failedAt.get(w.id)).toList();
+        return others.isEmpty() ? all : others;
+    }
+
     /** All ready workers, by rendezvous hashing of worker and function: the same order at every router. */
     private Worker[] order(Function f) {
         if (f.orderOf != listing) {
@@ -273,7 +282,7 @@
 
     private void pace(Function f, int cap) {
         double n = f.crowd.total();
-        double crowd = n > 0 ? f.crowd.sum() / n : 0;
+        double crowd = n >= 0.5 ? f.crowd.sum() / n : 0;
         boolean past = n >= 2 && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came;
         if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
         if (past && f.target < cap && planned + f.size <= MEMORY * room) {
@@ -283,13 +292,16 @@
             f.target--;
             Worker last = f.target < order(f).length ? order(f)[f.target] : null;
             f.busySince = now;
-            if (drops && last != null && f.at(last).belief == Belief.STANDS) {
+            if (drops && last != null && f.at(last).ordered != null && last.standing == Standing.READY) {
                 out.drop(last.id, f.id); // only where idle memory is priced; else the copy expires by itself
+                f.at(last).ordered = null;
                 f.at(last).belief = Belief.UNKNOWN;
             }
         }
         f.target = Math.min(f.target, Math.max(1, cap));
-        if (f.came > 0 && !(loadsOnMiss && f.target == 1)) { holdFirst(f); }
+        if (f.came > 0 && !(loadsOnMiss && f.target == 1)) {
+            holdFirst(f, able(f).stream().limit(f.target).toList());
+        }
         f.crowd.halve();
         f.came = 0;
         f.pressed = 0;
@@ -357,8 +369,8 @@
                 continue;
             }
             Function f = j.function;
-            boolean forCopy = first(able(f), w -> f.at(w).belief == Belief.STANDS) == null;
-            boolean onItsWay = forCopy && first(able(f), w -> coming(f, w)) != null;
+            boolean forCopy = first(able(j), w -> f.at(w).belief == Belief.STANDS) == null;
+            boolean onItsWay = forCopy && first(able(j), w -> coming(f, w)) != null;
             boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
             boolean crowdedOut = !forCopy && ahead > Math.max(8, rate * seconds(j.of.target));
@@ -618,7 +630,6 @@
     /** Rules 2, 3 and 4: whether this job may be sent to this worker now. */
     private boolean maySend(Job j, Worker w) {
         if (j.closed || w.standing != Standing.READY || j.executions.size() >= mostExecutions
-            || j.failedAt.get(w.id) && j.failedAt.cardinality() < ready
             || j.outstanding > 0 && (!second || j.of.repeat == Repeat.RUN_ONCE)
             || !less(now.plus(margin), j.limit)) {
             return false;
--- /dev/null
+++ b/src/test/java/switchgap/Bench.java
@@ -0,0 +1,209 @@
+package switchgap;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import switchgap.port.Decisions;
+import switchgap.port.End;
+import switchgap.port.Feed;
+import switchgap.port.Group;
+import switchgap.port.Repeat;
+import switchgap.port.Standing;
+import switchgap.port.Terms;
+
+/** The tests' one helper: terms that a test changes, one router under them, and its decisions as printed lines. */
+final class Bench implements Decisions {
+    static class Said implements Terms {
+        Repeat repeat = Repeat.RESTARTABLE;
+        Group group = Group.ALL;
+        boolean loads;
+        int routers = 2;
+        int me;
+        double free = 0;
+        double share = 0;
+        Duration span = Duration.ZERO;
+        double price = 0;
+        int executions = 4;
+
+        @Override public int self() { return me; }
+
+        @Override public int routers() { return routers; }
+
+        @Override public int zone() { return 0; }
+
+        @Override public Duration tick() { return ms(5); }
+
+        @Override public int workloads() { return 1; }
+
+        @Override public Duration startTarget(int w) { return ms(400); }
+
+        @Override public Duration timeLimit(int w) { return ms(2000); }
+
+        @Override public double importance(int w) { return 1; }
+
+        @Override public double lateShare(int w) { return 0.2; }
+
+        @Override public Repeat repeat(int w) { return repeat; }
+
+        @Override public Group group(int w) { return group; }
+
+        @Override public Duration memorySpan(int w) { return ms(1000); }
+
+        @Override public int customers() { return 0; }
+
+        @Override public double customerRate(int c) { return 0; }
+
+        @Override public double overShareWorth() { return 0.2; }
+
+        @Override public int mostExecutions() { return executions; }
+
+        @Override public boolean secondExecutions() { return false; }
+
+        @Override public boolean mayProbe() { return true; }
+
+        @Override public boolean mayCancel() { return true; }
+
+        @Override public boolean tellsComeBack() { return false; }
+
+        @Override public Duration mostComeBack() { return ms(500); }
+
+        @Override public double coldShare() { return 0.2; }
+
+        @Override public Duration coldSpan() { return ms(10_000); }
+
+        @Override public double fallMultiple() { return 2; }
+
+        @Override public Duration fallSpan() { return ms(1000); }
+
+        @Override public boolean loadsOnMiss() { return loads; }
+
+        @Override public boolean mayOrder() { return true; }
+
+        @Override public Duration keepAlive() { return ms(10_000); }
+
+        @Override public double loadsFree() { return free; }
+
+        @Override public double loadsShare() { return share; }
+
+        @Override public Duration loadsSpan() { return span; }
+
+        @Override public double memoryPrice() { return price; }
+
+        @Override public double[] kindMemory() { return new double[] {4000}; }
+
+        @Override public double crossingPrice() { return 0; }
+
+        @Override public boolean sizesTold() { return false; }
+
+        @Override public boolean asksForList() { return false; }
+
+        @Override public Duration askWithin() { return ms(10_000); }
+    }
+
+    private final Decide decide;
+    private final List<String> lines = new ArrayList<>();
+    private int at;
+
+    Bench(Terms terms) {
+        decide = new Decide(terms, 7);
+    }
+
+    static Duration ms(long n) {
+        return Duration.ofMillis(n);
+    }
+
+    /** A round at this time, with what comes in; no event is a round for the clock alone. */
+    Bench at(int millis, Consumer<Feed> events) {
+        at = millis;
+        decide.round(ms(millis), events::accept, this);
+        return this;
+    }
+
+    /** Rounds for the clock alone, each 20 ms. */
+    Bench until(int millis) {
+        for (int t = at + 20; t <= millis; t += 20) {
+            at(t, f -> f.timer(0));
+        }
+        return this;
+    }
+
+    static void list(Feed f, int workers) {
+        f.listBegins(true);
+        for (int w = 0; w < workers; w++) {
+            worker(f, w, Standing.READY, null);
+        }
+        f.listEnds();
+    }
+
+    static void change(Feed f, int worker, Standing standing, Duration started) {
+        f.listBegins(false);
+        worker(f, worker, standing, started);
+        f.listEnds();
+    }
+
+    private static void worker(Feed f, int w, Standing standing, Duration started) {
+        f.worker(w, 1000 + w, standing, w % 2, w % 2, 0, 1, started);
+    }
+
+    void job(Feed f, int job, int function) {
+        f.job(job, 0, 0, function, 50 + function, ms(at + 2000), null, 100, 2, null, false);
+    }
+
+    void end(Feed f, int job, int execution, int worker, End end, int took, int crowd) {
+        f.ended(job, execution, worker, end, ms(took), end == End.FINISHED, crowd, Double.NaN, Double.NaN, Double.NaN);
+    }
+
+    String trace() {
+        return String.join("\n", lines) + "\n";
+    }
+
+    long count(String start) {
+        return lines.stream().filter(l -> l.contains(" " + start)).count();
+    }
+
+    static String kept(String name) throws IOException {
+        try (InputStream in = Bench.class.getResourceAsStream(name + ".txt")) {
+            return in == null ? "" : new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private void say(String what) {
+        lines.add(at + " " + what);
+    }
+
+    @Override public void send(int job, int worker, Duration allow) {
+        say("send job " + job + " to worker " + worker + " for " + allow.toMillis() + " ms");
+    }
+
+    @Override public void cancel(int job, int execution) { say("cancel job " + job + " execution " + execution); }
+
+    @Override public void pushBack(int job, Duration comeBack) { say("push back job " + job); }
+
+    @Override public void kill(int job) { say("kill job " + job); }
+
+    @Override public void hold(int worker, int function, int copies) {
+        say((copies == 0 ? "ask" : "hold") + " function " + function + " at worker " + worker);
+    }
+
+    @Override public void drop(int worker, int function) { say("drop function " + function + " at worker " + worker); }
+
+    @Override public void probe(int worker) { say("probe worker " + worker); }
+
+    @Override public void wake(Duration after, long token) { }
+
+    @Override public void askForList() { say("ask for list"); }
+
+    @Override public void subscribe() { say("subscribe"); }
+
+    @Override public void note(String text) { say("note " + text); }
+
+    @Override public void forgetJob(int job) { say("forget job " + job); }
+
+    @Override public void forgetFunction(int function) { say("forget function " + function); }
+
+    @Override public void forgetWorker(int worker) { say("forget worker " + worker); }
+}
--- /dev/null
+++ b/src/test/java/switchgap/DecideTest.java
@@ -0,0 +1,201 @@
+package switchgap;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static switchgap.Bench.change;
+import static switchgap.Bench.list;
+import static switchgap.Bench.ms;
+
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+import switchgap.port.End;
+import switchgap.port.Group;
+import switchgap.port.Repeat;
+import switchgap.port.Standing;
+
+/** Traces of decisions against those kept beside this file's resources, which people read. */
+class DecideTest {
+    private static void same(String name, Bench b) throws IOException {
+        assertThat(b.trace()).isEqualTo(Bench.kept(name));
+    }
+
+    /** One job at home, one execution that errs there; what then happens depends on the kind of workload. */
+    private static Bench erring(Repeat repeat, Group group) {
+        Bench.Said said = new Bench.Said();
+        said.repeat = repeat;
+        said.group = group;
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        return b.at(60, f -> b.end(f, 0, 0, home, End.ERROR, 50, -1)).until(2100);
+    }
+
+    private static int home(Bench b) {
+        String line = b.trace().lines().filter(l -> l.contains("send")).findFirst().orElseThrow();
+        return line.charAt(line.indexOf("worker ") + 7) - '0';
+    }
+
+    /** Where the last order to hold function 0 went. */
+    private static int held(Bench b) {
+        return Integer.parseInt(b.trace().replaceAll("(?s).*hold function 0 at worker (\\d).*", "$1"));
+    }
+
+    @Test void restartableRunsAgainElsewhere() throws IOException {
+        same("restartable", erring(Repeat.RESTARTABLE, Group.ALL));
+    }
+
+    @Test void runOnceIsKilledAfterAnErrorAndNeverPushedBack() throws IOException {
+        same("run-once", erring(Repeat.RUN_ONCE, Group.ALL));
+    }
+
+    @Test void fingerprintedStaysInItsGroup() throws IOException {
+        same("fingerprinted-zone", erring(Repeat.FINGERPRINTED, Group.ZONE));
+    }
+
+    @Test void fingerprintedIsNotRepeatedPastItsMemorySpan() {
+        Bench.Said said = new Bench.Said();
+        said.repeat = Repeat.FINGERPRINTED;
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(1050, f -> b.end(f, 0, 0, home, End.ERROR, 1040, -1)).until(2100);
+        assertThat(b.count("send")).isEqualTo(1);
+        assertThat(b.count("push back") + b.count("kill")).isEqualTo(1);
+    }
+
+    @Test void eachJobGetsOneAnswerBeforeItsLimit() throws IOException {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 3)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(12, f -> b.end(f, 0, 0, home, End.MISS, 2, -1)).until(2500);
+        same("answered-in-time", b);
+    }
+
+    @Test void aMissOrdersACopyAndTheJobFollowsTheLoad() throws IOException {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 3)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(12, f -> b.end(f, 0, 0, home, End.MISS, 2, -1))
+            .at(15, f -> f.orderEnded((home + 1) % 3, 0, End.FINISHED, ms(3), 0))
+            .at(300, f -> f.orderEnded(home, 0, End.FINISHED, ms(288), 1))
+            .at(380, f -> b.end(f, 0, 1, home, End.FINISHED, 80, 0));
+        same("miss", b);
+    }
+
+    @Test void nothingNewToADrainingWorkerFromTheRoundThatTellsOfIt() {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 3)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(100, f -> b.end(f, 0, 0, home, End.FINISHED, 90, 0));
+        b.at(110, f -> {
+            change(f, home, Standing.DRAINING, null);
+            b.job(f, 1, 0);
+        }).until(1500);
+        assertThat(b.trace().lines().filter(l -> l.endsWith("at worker " + home) || l.contains("worker " + home + " ")))
+            .allMatch(l -> Integer.parseInt(l.split(" ")[0]) < 110);
+        assertThat(b.count("send")).isGreaterThan(1);
+    }
+
+    /** All routers share one budget: misses, which come back at once, count like any send. */
+    @Test void aColdWorkerIsNotPushedOver() {
+        Bench.Said said = new Bench.Said();
+        said.loads = true;
+        said.routers = 4;
+        Bench b = new Bench(said);
+        b.at(1000, f -> {
+            f.listBegins(true);
+            f.worker(0, 1000, Standing.READY, 0, 0, 0, 1, ms(1000));
+            f.listEnds();
+        });
+        for (int i = 0; i < 50; i++) {
+            int job = i;
+            b.at(1010 + 20 * i, f -> b.job(f, job, 0));
+        }
+        // Four routers; a warm worker bears ten jobs a second at the least: 2 x 0.2 x 10 / 4 is one job a second.
+        assertThat(b.count("send")).isBetween(1L, 2L);
+    }
+
+    @Test void loadOrdersStayWithinTheRation() {
+        Bench.Said said = new Bench.Said();
+        said.free = 2;
+        said.share = 0.25;
+        said.span = ms(5000);
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4));
+        for (int i = 0; i < 12; i++) {
+            int job = i;
+            b.at(10 + 50 * i, f -> b.job(f, job, job));
+            String last = b.trace().lines().filter(l -> l.contains("send job " + job + " ")).findFirst().orElse(null);
+            if (last != null) {
+                int w = last.charAt(last.indexOf("worker ") + 7) - '0';
+                b.at(15 + 50 * i, f -> b.end(f, job, 0, w, End.MISS, 2, -1));
+                b.at(20 + 50 * i, f -> f.orderEnded(w, job, End.FINISHED, ms(5), 1));
+            }
+            assertThat((double) b.count("hold")).isLessThanOrEqualTo(2 + 0.25 * (i + 1));
+        }
+        assertThat(b.count("hold")).isGreaterThan(2);
+    }
+
+    /** k rises with the crowd at the copies and falls, with a drop only where idle memory is priced. */
+    @Test void targetRisesAndFalls() throws IOException {
+        Bench.Said said = new Bench.Said();
+        said.price = 0.05;
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4));
+        for (int i = 0; i < 6; i++) {
+            int job = i;
+            b.at(10 + 150 * i, f -> b.job(f, job, 0));
+            int home = home(b);
+            b.at(90 + 150 * i, f -> b.end(f, job, 0, home, End.FINISHED, 80, 3));
+        }
+        b.until(1100);
+        int next = held(b);
+        b.at(1300, f -> f.orderEnded(next, 0, End.FINISHED, ms(200), 1));
+        b.until(17_500);
+        same("target", b);
+    }
+
+    /** Past the bound at home a job goes on along the hash order, to a copy that stands. */
+    @Test void overflowGoesOnward() throws IOException {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(90, f -> b.end(f, 0, 0, home, End.FINISHED, 80, 0));
+        b.at(100, f -> {
+            for (int j = 1; j < 9; j++) {
+                b.job(f, j, 0);
+            }
+        });
+        int next = held(b);
+        b.at(300, f -> f.orderEnded(next, 0, End.FINISHED, ms(200), 1));
+        same("overflow", b);
+    }
+
+    @Test void aRestartedRouterSendsFromItsCachedListAlone() throws IOException {
+        Bench.Said said = new Bench.Said();
+        said.loads = true;
+        Bench b = new Bench(said);
+        b.at(0, f -> {
+            list(f, 3);
+            for (int j = 0; j < 8; j++) {
+                b.job(f, j, 0);
+            }
+        });
+        same("restart", b);
+    }
+
+    @Test void goneWorkersAndOneOffFunctionsAreForgotten() {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 3)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(90, f -> b.end(f, 0, 0, home, End.FINISHED, 80, 0));
+        b.at(100, f -> change(f, home, Standing.GONE, null)).until(1100);
+        int next = held(b);
+        b.at(1200, f -> f.orderEnded(next, 0, End.FINISHED, ms(200), 1)).until(31_000);
+        assertThat(b.trace()).contains("forget job 0", "forget worker " + home, "forget function 0");
+    }
+
+    @Test void sameEventsSameDecisions() {
+        assertThat(erring(Repeat.RESTARTABLE, Group.ALL).trace())
+            .isEqualTo(erring(Repeat.RESTARTABLE, Group.ALL).trace());
+    }
+}
