--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -20,11 +20,15 @@
 
     /** One job at home, one execution that errs there; what then happens depends on the kind of workload. */
     private static Bench erring(Repeat repeat, Group group) {
+        return erring(repeat, group, 0);
+    }
+
+    private static Bench erring(Repeat repeat, Group group, int function) {
         Bench.Said said = new Bench.Said();
         said.repeat = repeat;
         said.group = group;
         Bench b = new Bench(said);
-        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, function));
         int home = home(b);
         return b.at(60, f -> b.end(f, 0, 0, home, End.ERROR, 50, -1)).until(2100);
     }
@@ -49,6 +53,11 @@
 
     @Test void fingerprintedStaysInItsGroup() throws IOException {
         same("fingerprinted-zone", erring(Repeat.FINGERPRINTED, Group.ZONE));
+        for (int function = 1; function < 8; function++) { // the helper's zones are a worker's number modulo 2
+            assertThat(erring(Repeat.FINGERPRINTED, Group.ZONE, function).trace().lines()
+                .filter(l -> l.contains("send")).map(l -> (l.charAt(l.indexOf("worker ") + 7) - '0') % 2).distinct())
+                .hasSize(1);
+        }
     }
 
     @Test void fingerprintedIsNotRepeatedPastItsMemorySpan() {
