Cold budget from this router's own rate at warm workers; cold workers count by warmth

Sum over routers of own rates is what a warm worker does bear, so the budget stays sound without agreement.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -67,7 +67,7 @@
     private boolean wholeList;
     private int ready, ordersOut;
     private double room, planned;        // memory of all ready workers; what the copies at their targets take
-    private double ordersMost;
+    private double ordersMost, ownRate;  // of load orders at a time; jobs a second at an average worker
     private Duration now = Duration.ZERO;
     private Duration nextSecond = Duration.ZERO, nextAsk = Duration.ZERO;
     private Duration nextStep;
@@ -240,24 +240,26 @@
     private double load(Function f, Worker w) {
         boolean fresh = w.reported != null && less(now.minus(w.reported), SECOND);
         double others = fresh && !Double.isNaN(w.held) ? w.held - w.flying : f.at(w).crowd;
-        return (w.flying - w.loading + 1 + Math.max(0, others) / 2) * w.slowness;
+        return (w.flying - w.loading + 1 + Math.max(0, others) / 2) * w.slowness / warmth(w);
     }
 
     /** In-flight is bounded by measured rate times half a target, and a few jobs shared by the routers. */
     private double bound(Worker w) {
         double n = w.took.total();
         double spent = n < 1 ? 0 : w.took.quantile(0.5); // of a start target; the median is blind to loads
-        return Math.max(1, (ROOM / routers + n / 1.5 * seconds(soonest) / 2) * Math.min(1, 0.15 / spent));
+        return Math.max(1, (ROOM / routers + n / 1.5 * seconds(soonest) / 2) * Math.min(warmth(w), 0.15 / spent));
     }
 
     /** Each second: k rises past the load mark, falls after some seconds under the unload mark. */
     private void eachSecond() {
+        ownRate = 0;
         double all = (stretch.sum() + 4) / (stretch.total() + 4);
         for (Worker w : workers) {
             w.slowness = Math.max(0.5, (w.slow.sum() + 4 * all) / (w.slow.total() + 4) / all);
             if (w.slowness > SLOW && w.slow.total() >= 4) { strike(w); }
             w.slow.halve();
             w.bad.halve();
+            ownRate += w.standing == Standing.READY ? w.took.total() / 2 / ready : 0;
             w.took.halve();
         }
         stretch.halve();
@@ -646,20 +648,26 @@
         return warmEnough(w);
     }
 
+    /** The share of its capacity that a worker has at the least, as it was a span of rule 4 ago. */
+    private double warmth(Worker w) {
+        if (w.started == null) { return 1; }
+        double since = Math.max(0, seconds(now.minus(w.started).minus(fallSpan)));
+        return Math.min(1, coldShare + (1 - coldShare) * since / seconds(coldSpan));
+    }
+
     /** Rule 4: this router's part of what a cold worker can take; a part below one job goes by turns. */
     private boolean warmEnough(Worker w) {
         if (w.started == null || !less(now.minus(w.started), coldSpan)) { return true; }
         int sent = w.coldSends.within(now, fallSpan);
-        double age = Math.max(0, seconds(now.minus(w.started)));
-        double since = Math.max(0, age - seconds(fallSpan));
-        double warmth = coldShare + (1 - coldShare) * since / seconds(coldSpan);
         double rate = Double.MAX_VALUE; // jobs a second that a warm worker surely bears: one after the other
         for (Workload each : workloads) {
             rate = Math.min(rate, 1 / seconds(usual(each)));
         }
-        double part = coldBudget * warmth * rate * seconds(fallSpan);
+        // What all routers together send a warm worker it does bear: this router's own part of that, made to
+        // measure, or an equal share of one job after the other. The two can add up to the whole; two thirds of it.
+        double part = coldBudget * warmth(w) * seconds(fallSpan) * Math.max(rate, ownRate * routers) * 2 / 3;
         if (part >= 1) { return sent < Math.floor(part); }
-        return sent == 0 && (long) (age / seconds(fallSpan)) % routers == self;
+        return sent == 0 && now.minus(w.started).dividedBy(fallSpan) % routers == self;
     }
 
     private void send(Job j, Worker w) {
