--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -57,15 +57,13 @@
     private final Slots<Function> functions = new Slots<>();
     private final Slots<Job> jobs = new Slots<>();
     private final List<Job> waiting = new ArrayList<>();
-    private final Window orders = new Window();
-    private final Window arrivals = new Window();
+    private final Window orders = new Window(), arrivals = new Window();
     private final Histogram stretch = new Histogram(RATIOS);
     private final Histogram failing = new Histogram(BAD);
     private final double[] customerCame;
     private double allCame;
-    private int listing;
     private boolean wholeList;
-    private int ready, ordersOut;
+    private int listing, ready, ordersOut;
     private double room, planned;        // memory of all ready workers; what the copies at their targets take
     private double ordersMost, ownRate;  // of load orders at a time; jobs a second at an average worker
     private Duration now = Duration.ZERO;
@@ -88,9 +86,7 @@
         step = most(t.tick(), soonest.dividedBy(20));
         fairShare = new double[t.customers()];
         customerCame = new double[t.customers()];
-        for (int c = 0; c < fairShare.length; c++) {
-            fairShare[c] = t.customerRate(c);
-        }
+        Arrays.setAll(fairShare, t::customerRate);
         overShare = t.overShareWorth();
         mostExecutions = t.mostExecutions();
         second = t.secondExecutions();
@@ -247,7 +243,8 @@
     private double bound(Worker w) {
         double n = w.took.total();
         double spent = n < 1 ? 0 : w.took.quantile(0.5); // of a start target; the median is blind to loads
-        return Math.max(1, (ROOM / routers + n / 1.5 * seconds(soonest) / 2) * Math.min(warmth(w), 0.15 / spent));
+        double most = ROOM / routers + n / 1.5 * seconds(soonest) / 2;
+        return Math.max(1, most * Math.min(warmth(w), 0.15 / spent));
     }
 
     /** Each second: k rises past the load mark, falls after some seconds under the unload mark. */
@@ -276,9 +273,7 @@
                 out.forgetFunction(f.id);
             }
         }
-        for (int c = 0; c < customerCame.length; c++) {
-            customerCame[c] /= 2;
-        }
+        Arrays.setAll(customerCame, c -> customerCame[c] / 2);
         allCame /= 2;
     }
 
@@ -402,10 +397,7 @@
         w.flying--;
         w.loading -= x.stood || !loadsOnMiss ? 0 : 1;
         report(w, busy, held);
-        if (crowd >= 0) {
-            c.crowd = crowd;
-            j.function.crowd.add((double) crowd / j.function.lanes);
-        }
+        if (crowd >= 0) { j.function.crowd.add((c.crowd = crowd) / j.function.lanes); }
         judge(j, x, w, end, took);
         if (end == End.FINISHED) {
             c.belief = Belief.STANDS;
@@ -663,8 +655,8 @@
         for (Workload each : workloads) {
             rate = Math.min(rate, 1 / seconds(usual(each)));
         }
-        // What all routers together send a warm worker it does bear: this router's own part of that, made to
-        // measure, or an equal share of one job after the other. The two can add up to the whole; two thirds of it.
+        // All that the routers send a warm worker it does bear: this router's own part of that, as measured, or an
+        // equal share of one job after the other; two thirds of it, since the two kinds can add up.
         double part = coldBudget * warmth(w) * seconds(fallSpan) * Math.max(rate, ownRate * routers) * 2 / 3;
         if (part >= 1) { return sent < Math.floor(part); }
         return sent == 0 && now.minus(w.started).dividedBy(fallSpan) % routers == self;
