--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -34,7 +34,7 @@
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
-    private static final double TOO_SHORT = 1.0;   // of the expected time: a limit nearer than that is hopeless
+    private static final double TOO_SHORT = 1.5;   // of the expected time: a limit nearer than that is hopeless
     private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
 
     private static final Duration SECOND = Duration.ofSeconds(1); // the design's pace of k
