Just started workers count as empty; their functions are ordered while strays serve

Cause (haarlem releases): successors were tried with a job each, or waited for, while a copy stood elsewhere.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -34,7 +34,7 @@
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
-    private static final double TOO_SHORT = 1.5;   // of the expected time: a limit nearer than that is hopeless
+    private static final double TOO_SHORT = 1.5;   // of the expected time: a nearer limit is hopeless
     private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
 
     private static final Duration SECOND = Duration.ofSeconds(1); // the design's pace of k
@@ -157,11 +157,9 @@
             f.pressed++;
             to = onward(j, able);
         }
-        if (to == null) {
-            List<Worker> home = able.subList(0, Math.min(f.target, able.size()));
-            if (first(home, w -> coming(f, w)) == null) { holdFirst(f, home); }
-            return false;
-        }
+        List<Worker> home = able.subList(0, Math.min(f.target, able.size()));
+        if (best == null && unknown == null && first(home, w -> coming(f, w)) == null) { holdFirst(f, home); }
+        if (to == null) { return false; }
         send(j, to);
         return true;
     }
@@ -341,18 +339,7 @@
         jobs.set(job, j);
         if (!rationSpan.isZero()) { arrivals.add(now); }
         // Whoever gives up sooner than we can answer only fills the workers, and more so as it tries again.
-        if (!less(now.plus(times(expected(j), TOO_SHORT)).plus(margin), limit)) {
-            giveUp(j);
-        } else if (!place(j)) {
-            await(j);
-        }
-    }
-
-    private void await(Job j) {
-        if (!j.closed && !j.waiting) {
-            j.waiting = true;
-            waiting.add(j);
-        }
+        placeOrWait(j, less(now.plus(times(expected(j), TOO_SHORT)).plus(margin), limit));
     }
 
     /** Places what waits, the most valuable first; gives up at once what can no longer be worth its place. */
@@ -427,10 +414,15 @@
         boolean may = j.executions.size() < mostExecutions
             && (j.mayHaveRun == 0 || j.of.repeat != Repeat.RUN_ONCE)
             && less(now.plus(margin).plus(usual(j.of)), j.limit);
+        placeOrWait(j, may);
+    }
+
+    private void placeOrWait(Job j, boolean may) {
         if (!may) {
             giveUp(j);
         } else if (!place(j)) {
-            await(j);
+            j.waiting = true;
+            waiting.add(j);
         }
     }
 
@@ -482,13 +474,9 @@
         settle(j);
     }
 
-    @Override public void streamBegan(int job, int execution) {
-        jobs.get(job).streaming = true;
-    }
+    @Override public void streamBegan(int job, int execution) { } // the client has it now; its end will come
 
-    @Override public void timer(long token) {
-        nextStep = null;
-    }
+    @Override public void timer(long token) { nextStep = null; }
 
     @Override public void probed(int worker, End end, Duration took, double busy, double held,
                                  double queued) {
@@ -500,11 +488,9 @@
     }
 
     private void report(Worker w, double busy, double held) {
-        if (!Double.isNaN(busy) || !Double.isNaN(held)) {
-            w.busy = busy;
-            w.held = held;
-            w.reported = now;
-        }
+        if (Double.isNaN(busy) && Double.isNaN(held)) { return; }
+        w.held = held;
+        w.reported = now;
     }
 
     // ------------------------------------------------------------------ the list of workers
@@ -522,6 +508,7 @@
         if (w == null) {
             w = new Worker(worker, mark, RATIOS, BAD, SPANS);
             w.started = started;
+            w.empty = started != null && less(now.minus(started), coldSpan);
             workers.set(worker, w);
         }
         if (started != null && !started.equals(w.started)) {
@@ -620,7 +607,7 @@
         return w.shunned != null && (less(now, w.shunned) || w.onTrial && w.flying > 0);
     }
 
-    /** What this job should take by its hint, stretched as its like have been, else as its workload usually does. */
+    /** What this job should take: its hint, stretched as others were, else its workload's usual time. */
     private Duration expected(Job j) {
         double q = stretch.quantile(0.5);
         boolean hinted = j.hint != null && !j.hint.isZero() && !Double.isNaN(q);
--- a/src/main/java/switchgap/state/Function.java
+++ b/src/main/java/switchgap/state/Function.java
@@ -30,7 +30,11 @@
 
     public Copy at(Worker w) {
         Copy c = copies.get(w.id);
-        return c == null ? copies.set(w.id, new Copy()) : c;
+        if (c == null) {
+            c = copies.set(w.id, new Copy());
+            c.belief = w.empty ? Copy.Belief.ABSENT : Copy.Belief.UNKNOWN;
+        }
+        return c;
     }
 
     public void forget(int worker) {
--- a/src/main/java/switchgap/state/Job.java
+++ b/src/main/java/switchgap/state/Job.java
@@ -22,7 +22,6 @@
     public Duration anchored;
     public boolean closed;
     public boolean waiting;
-    public boolean streaming;
 
     public Job(int id, Workload of, Function function, Duration arrived, Duration limit,
                Duration hint) {
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -14,6 +14,7 @@
     public final Window coldSends = new Window();
     public Standing standing = Standing.GONE;
     public boolean named;
+    public boolean empty;
     public int zone;
     public int cell;
     public double memory;
@@ -27,7 +28,6 @@
     public Duration shunned;
     public Duration rest;
     public double held = Double.NaN;
-    public double busy = Double.NaN;
     public Duration reported;
     public double slowness = 1;
 
