--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -40,12 +40,12 @@
     private static final Duration SECOND = Duration.ofSeconds(1); // the design's pace of k
 
     // --- Figures derived from the terms.
-    private final int self, routers, mostExecutions;
+    private final int self, zone, routers, mostExecutions;
     private final Duration margin;      // before a time limit: two ticks, so that an answer is never late
     private final Duration step, soonest; // between looks at what waits; the shortest start target
     private final Workload[] workloads;
     private final double[] fairShare, kindMemory;
-    private final boolean second, sizesTold, mayCancel, mayOrder, loadsOnMiss, drops;
+    private final boolean second, crossingPriced, sizesTold, mayCancel, mayOrder, loadsOnMiss, drops;
     private final Duration comeBack;    // null: no advice
     private final Duration keep, rationSpan, coldSpan, fallSpan;
     private final double rationFree, rationShare, overShare, coldShare;
@@ -75,6 +75,8 @@
     public Decide(Terms t, long seed) {
         chance = new SplittableRandom(seed);
         self = t.self();
+        zone = t.zone();
+        crossingPriced = t.crossingPrice() > 0;
         routers = Math.max(1, t.routers());
         margin = t.tick().multipliedBy(2);
         workloads = new Workload[t.workloads()];
@@ -144,9 +146,9 @@
                 unknown = unknown == null ? w : unknown;
             } else if (i >= f.target) {
                 stray = stray == null ? w : stray;
-            } else if (load(f, w) < least - (best == null ? 0 : STEP_ASIDE)) {
+            } else if (load(f, w) + away(w) < least - (best == null ? 0 : STEP_ASIDE)) {
                 best = w;
-                least = load(f, w);
+                least = load(f, w) + away(w);
             }
         }
         Worker to = best != null ? best : unknown != null ? unknown : stray;
@@ -164,6 +166,11 @@
         return true;
     }
 
+    /** Where crossing zones is priced, a copy in the own zone goes first unless it is more loaded by a job. */
+    private double away(Worker w) {
+        return crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0;
+    }
+
     private boolean hasRoom(Worker w) {
         return w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
             && (w.rest == null || !less(now, w.rest));
