--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -370,7 +370,7 @@
             boolean onItsWay = forCopy && first(able(j), w -> coming(f, w)) != null;
             boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
-            boolean crowdedOut = !forCopy && ahead > Math.max(8, rate * seconds(j.of.target));
+            boolean crowdedOut = !forCopy && ahead > Math.max(4, rate * seconds(j.of.target) / 2);
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
                 continue;
