--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -27,6 +27,7 @@
     private static final double[] CROWD = {0.25, 0.5, 0.75, 1, 1.5, 2, 4};
     // --- The design's open figures.
     private static final double LOAD_MARK = 0.5;  // mean crowd a lane at arrival: k rises above it
+    private static final double MOST_LANES = 2;    // lanes that count: more of them than cores only share the cores
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
     private static final double MOST_COPIES = 0.5; // of the ready workers
@@ -397,7 +398,7 @@
         w.flying--;
         w.loading -= x.stood || !loadsOnMiss ? 0 : 1;
         report(w, busy, held);
-        if (crowd >= 0) { j.function.crowd.add((c.crowd = crowd) / j.function.lanes); }
+        if (crowd >= 0) { j.function.crowd.add((c.crowd = crowd) / Math.min(j.function.lanes, MOST_LANES)); }
         judge(j, x, w, end, took);
         if (end == End.FINISHED) {
             c.belief = Belief.STANDS;
