--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -355,9 +355,7 @@
         if (waiting.isEmpty()) { return; }
         waiting.sort(Comparator.comparingDouble((Job j) -> -worthNow(j)).thenComparing(j -> j.arrived));
         double rate = 0;
-        for (Worker w : workers) {
-            rate += w.took.total() / 2;
-        }
+        for (Worker w : workers) { rate += w.took.total() / 2; }
         List<Job> still = new ArrayList<>();
         int ahead = 0;
         for (Job j : waiting) {
@@ -505,9 +503,7 @@
 
     @Override public void listBegins(boolean whole) {
         wholeList = whole;
-        for (Worker w : workers) {
-            w.named = false;
-        }
+        workers.forEach(w -> w.named = false);
     }
 
     @Override public void worker(int worker, long mark, Standing standing, int zone, int cell, int kind,
@@ -526,6 +522,7 @@
             w.slow.clear();
             w.bad.clear();
             w.shunned = null;
+            w.onTrial = false;
             w.strikes = 0;
         }
         w.named = true;
