--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -354,10 +354,8 @@
     private void placeWaiting() {
         if (waiting.isEmpty()) { return; }
         waiting.sort(Comparator.comparingDouble((Job j) -> -worthNow(j)).thenComparing(j -> j.arrived));
-        double rate = 0;
-        for (Worker w : workers) { rate += w.took.total() / 2; }
+        workers.forEach(w -> w.ahead = 0);
         List<Job> still = new ArrayList<>();
-        int ahead = 0;
         for (Job j : waiting) {
             if (j.closed || !j.waiting) { continue; }
             if (place(j)) {
@@ -369,12 +367,13 @@
             boolean onItsWay = forCopy && first(able(j), w -> coming(f, w)) != null;
             boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
-            boolean crowdedOut = !forCopy && ahead > Math.max(4, rate * seconds(j.of.target) / 2);
+            Worker home = forCopy ? null : able(j).get(0); // its queue: one busy worker must not turn away all
+            boolean crowdedOut = home != null
+                && home.ahead++ >= Math.max(2, home.took.total() / 2 * seconds(j.of.target) / 2);
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
                 continue;
             }
-            ahead += forCopy ? 0 : 1;
             still.add(j);
         }
         waiting.clear();
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -21,6 +21,7 @@
     public double weight;
     public Duration started;
     public int flying;
+    public int ahead;
     public int loading;
     public int orders;
     public int strikes;
