--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -31,7 +31,7 @@
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
     private static final double MOST_COPIES = 0.5; // of the ready workers
-    private static final double MEMORY = 0.5;      // of the workers' memory: as far as targets may fill it
+    private static final double MEMORY = 0.5;      // of the workers' memory: targets rise as far; past 1.2 of it they fall at once
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
@@ -292,8 +292,10 @@
         if (past && f.target < cap && planned + f.size <= MEMORY * room) {
             f.target++;
             planned += f.size;
-        } else if (f.target > 1 && !less(now.minus(f.busySince), times(keep, FALL_AFTER))) {
+        } else if (f.target > 1 && (!past && planned > 1.2 * MEMORY * room
+            || !less(now.minus(f.busySince), times(keep, FALL_AFTER)))) { // at once where memory is overplanned
             f.target--;
+            planned -= f.size;
             Worker last = f.target < order(f).length ? order(f)[f.target] : null;
             f.busySince = now;
             if (drops && last != null && f.at(last).ordered != null && last.standing == Standing.READY) {
