--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -31,7 +31,7 @@
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
     private static final double MOST_COPIES = 0.5; // of the ready workers
-    private static final double MEMORY = 0.5;      // of the workers' memory: targets rise as far; past 1.2 of it they fall at once
+    private static final double MEMORY = 0.5;      // of the workers' memory: targets rise as far, and fall past 1.2 of it
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
