--- a/src/test/java/switchgap/Bench.java
+++ b/src/test/java/switchgap/Bench.java
@@ -150,7 +150,11 @@
     }
 
     void job(Feed f, int job, int function) {
-        f.job(job, 0, 0, function, 50 + function, ms(at + 2000), null, 100, 2, null, false);
+        job(f, job, function, 2000);
+    }
+
+    void job(Feed f, int job, int function, int left) {
+        f.job(job, 0, 0, function, 50 + function, ms(at + left), null, 100, 2, null, false);
     }
 
     void end(Feed f, int job, int execution, int worker, End end, int took, int crowd) {
--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -207,4 +207,43 @@
         assertThat(erring(Repeat.RESTARTABLE, Group.ALL).trace())
             .isEqualTo(erring(Repeat.RESTARTABLE, Group.ALL).trace());
     }
+
+    /** Clients that give up before the work can be done, and try again, filled every worker for nothing. */
+    @Test void aJobThatCannotBeAnsweredInTimeIsPushedBackOnArrival() {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 3)).at(10, f -> b.job(f, 0, 0, 90));
+        assertThat(b.count("push back job 0")).isEqualTo(1);
+        assertThat(b.count("send")).isZero();
+    }
+
+    /** Fast failures look idle: after two errors the worker's functions move on, until one job retests it. */
+    @Test void aWorkerThatErrsIsShunnedAndRetested() throws IOException {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 4));
+        for (int i = 0; i < 5; i++) {
+            int job = i;
+            b.at(10 + 300 * i, f -> b.job(f, job, 0));
+            String sent = b.trace().lines().filter(l -> l.contains("send job " + job)).findFirst().orElseThrow();
+            int at = sent.charAt(sent.indexOf("worker ") + 7) - '0';
+            boolean errs = at == home(b) && i < 2;
+            b.at(15 + 300 * i, f -> b.end(f, job, 0, at, errs ? End.ERROR : End.FINISHED, 5, 0));
+            b.at(40 + 300 * i, f -> {
+                if (errs) {
+                    int other = Integer.parseInt(b.trace().strip().replaceAll("(?s).*to worker (\\d).*", "$1"));
+                    b.end(f, job, 1, other, End.FINISHED, 20, 0);
+                }
+            });
+        }
+        same("shunned", b);
+    }
+
+    /** A full waiting room was filled again at once by every router: it rests for a quarter of a target. */
+    @Test void aFullWorkerRests() {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 1)).at(10, f -> b.job(f, 0, 0)).at(12, f -> b.end(f, 0, 0, 0, End.FULL, 2, 5));
+        b.at(20, f -> b.job(f, 1, 0)).until(100);
+        assertThat(b.count("send")).isEqualTo(1);
+        b.until(200);
+        assertThat(b.count("send")).isGreaterThan(1);
+    }
 }
