--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -371,7 +371,7 @@
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
             Worker home = forCopy ? null : able(j).get(0); // its queue: one busy worker must not turn away all
             boolean crowdedOut = home != null
-                && home.ahead++ >= Math.max(2, home.took.total() / 2 * seconds(j.of.target) / 2);
+                && home.ahead++ >= Math.max(2, home.took.total() / 2 * seconds(j.of.target) / 2) * j.value / j.of.value;
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
                 continue;
