--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -31,7 +31,7 @@
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
     private static final double MOST_COPIES = 0.5; // of the ready workers
-    private static final double MEMORY = 0.5;      // of the workers' memory: targets rise as far, and fall past 1.2 of it
+    private static final double MEMORY = 0.5;      // of the workers' memory: k rises as far, falls past 1.2 of it
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
@@ -239,7 +239,7 @@
         return x ^ (x >>> 31);
     }
 
-    /** What a further job would meet: own jobs, half of what others are thought to hold, by slowness. */
+    /** What a further job would meet: own jobs, half of what others held (old news), by slowness. */
     private double load(Function f, Worker w) {
         boolean fresh = w.reported != null && less(now.minus(w.reported), SECOND);
         double others = fresh && !Double.isNaN(w.held) ? w.held - w.flying : f.at(w).crowd;
@@ -254,6 +254,9 @@
         return Math.max(1, most * Math.min(warmth(w), 0.15 / spent));
     }
 
+    /** Jobs a second finished there: counts halved each second hold between one and two seconds' worth. */
+    private static double rate(Worker w) { return w.took.total() / 2; }
+
     /** Each second: k rises past the load mark, falls after some seconds under the unload mark. */
     private void eachSecond() {
         ownRate = 0;
@@ -263,7 +266,7 @@
             if (w.slowness > SLOW && w.slow.total() >= 4) { strike(w); }
             w.slow.halve();
             w.bad.halve();
-            ownRate += w.standing == Standing.READY ? w.took.total() / 2 / ready : 0;
+            ownRate += w.standing == Standing.READY ? rate(w) / ready : 0;
             w.took.halve();
         }
         stretch.halve();
@@ -287,13 +290,13 @@
     private void pace(Function f, int cap) {
         double n = f.crowd.total();
         double crowd = n >= 0.5 ? f.crowd.sum() / n : 0;
-        boolean past = n >= 2 && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came;
+        boolean past = n >= 2 && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
         if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
         if (past && f.target < cap && planned + f.size <= MEMORY * room) {
             f.target++;
             planned += f.size;
         } else if (f.target > 1 && (!past && planned > 1.2 * MEMORY * room
-            || !less(now.minus(f.busySince), times(keep, FALL_AFTER)))) { // at once where memory is overplanned
+            || !less(now.minus(f.busySince), times(keep, FALL_AFTER)))) { // at once: memory is overplanned
             f.target--;
             planned -= f.size;
             Worker last = f.target < order(f).length ? order(f)[f.target] : null;
@@ -343,7 +346,8 @@
             customerCame[customer]++;
             allCame++;
             double all = Math.max(Arrays.stream(fairShare).sum(), Double.MIN_NORMAL);
-            over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
+            over = allCame > 20 // fewer tell no share; a quarter over it is still chance
+                && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
         }
         j.value = j.of.value * (over ? overShare : 1);
         jobs.set(job, j);
@@ -369,9 +373,9 @@
             boolean onItsWay = forCopy && first(able(j), w -> coming(f, w)) != null;
             boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
-            Worker home = forCopy ? null : able(j).get(0); // its queue: one busy worker must not turn away all
+            Worker home = forCopy ? null : able(j).get(0); // its line: one busy worker turns away its own
             boolean crowdedOut = home != null
-                && home.ahead++ >= Math.max(2, home.took.total() / 2 * seconds(j.of.target) / 2) * j.value / j.of.value;
+                && home.ahead++ >= Math.max(2, rate(home) * seconds(j.of.target) / 2) * j.value / j.of.value;
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
                 continue;
@@ -589,7 +593,7 @@
     private void fail(Worker w, boolean surely) {
         w.bad.add(1);
         failing.add(1);
-        double share = (failing.from(1) + 1) / (failing.total() + 10);
+        double share = (failing.from(1) + 1) / (failing.total() + 10); // one in ten where nothing is known
         if (surely || w.onTrial || w.bad.from(1) >= 2 && w.bad.from(1) > 2 * share * w.bad.total()) {
             strike(w);
         }
@@ -603,7 +607,7 @@
             n += o.standing == Standing.READY && shunned(o) ? 1 : 0;
         }
         if (n + 1 > ready * SHUN_MOST) { return; }
-        w.shunned = now.plus(SECOND.multipliedBy(1L << Math.min(3, w.strikes++)));
+        w.shunned = now.plus(SECOND.multipliedBy(1L << Math.min(3, w.strikes++) /* 1, 2, 4, then 8 s */));
         w.onTrial = true;
         w.slow.clear();
         w.bad.clear();
