The bound has a floor of two jobs where few routers share a worker

Cause: pushbacks lower the measured rate, the rate the bound, the bound pushes back. Told from a load jam by counting: 14 of 36 workers without room at one job in flight. Covers any sudden loss or herd of retries; harm: a little more queueing in plain overload.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -31,7 +31,7 @@
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
     private static final double MOST_COPIES = 0.5; // of the ready workers
-    private static final double MEMORY = 0.5;      // of the workers' memory: k rises as far, falls past 1.2 of it
+    private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far, falls past 1.2
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
@@ -246,12 +246,12 @@
         return (w.flying - w.loading + 1 + Math.max(0, others) / 2) * w.slowness / warmth(w);
     }
 
-    /** In-flight is bounded by measured rate times half a target, and a few jobs shared by the routers. */
+    /** Measured rate times half a target, and a few jobs shared; with a floor, or pushbacks feed on themselves. */
     private double bound(Worker w) {
-        double n = w.took.total();
-        double spent = n < 1 ? 0 : w.took.quantile(0.5); // of a start target; the median is blind to loads
-        double most = ROOM / routers + n / 1.5 * seconds(soonest) / 2;
-        return Math.max(1, most * Math.min(warmth(w), 0.15 / spent));
+        double spent = w.took.total() < 1 ? 0 : w.took.quantile(0.5); // of a target; the median is blind to loads
+        double most = ROOM / routers + w.took.total() / 1.5 * seconds(soonest) / 2;
+        double least = Math.max(1, Math.min(2, ROOM / routers) * warmth(w));
+        return Math.max(least, most * Math.min(warmth(w), 0.15 / spent));
     }
 
     /** Jobs a second finished there: counts halved each second hold between one and two seconds' worth. */
@@ -346,8 +346,7 @@
             customerCame[customer]++;
             allCame++;
             double all = Math.max(Arrays.stream(fairShare).sum(), Double.MIN_NORMAL);
-            over = allCame > 20 // fewer tell no share; a quarter over it is still chance
-                && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
+            over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
         }
         j.value = j.of.value * (over ? overShare : 1);
         jobs.set(job, j);
