--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -246,9 +246,9 @@
         return (w.flying - w.loading + 1 + Math.max(0, others) / 2) * w.slowness / warmth(w);
     }
 
-    /** Measured rate times half a target, and a few jobs shared; with a floor, or pushbacks feed on themselves. */
+    /** Measured rate times half a target, and a few jobs; a floor, or pushbacks feed on themselves. */
     private double bound(Worker w) {
-        double spent = w.took.total() < 1 ? 0 : w.took.quantile(0.5); // of a target; the median is blind to loads
+        double spent = w.took.total() < 1 ? 0 : w.took.quantile(0.5); // of a target; blind to loads
         double most = ROOM / routers + w.took.total() / 1.5 * seconds(soonest) / 2;
         double least = Math.max(1, Math.min(2, ROOM / routers) * warmth(w));
         return Math.max(least, most * Math.min(warmth(w), 0.15 / spent));
