--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -26,6 +26,7 @@
     private static final double[] BAD = {0.5};
     private static final double[] CROWD = {0.25, 0.5, 0.75, 1, 1.5, 2, 4};
     // --- The design's open figures.
+    private static final double BRISK = 0.15;      // of a start target: median answers past it shrink the bound
     private static final double LOAD_MARK = 0.5;  // mean crowd a lane at arrival: k rises above it
     private static final double MOST_LANES = 2;    // lanes that count: more than cores only share the cores
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
@@ -251,7 +252,7 @@
         double spent = w.took.total() < 1 ? 0 : w.took.quantile(0.5); // of a target; blind to loads
         double most = ROOM / routers + w.took.total() / 1.5 * seconds(soonest) / 2;
         double least = Math.max(1, Math.min(2, ROOM / routers) * warmth(w));
-        return Math.max(least, most * Math.min(warmth(w), 0.15 / spent));
+        return Math.max(least, most * Math.min(warmth(w), BRISK / spent));
     }
 
     /** Jobs a second finished there: counts halved each second hold between one and two seconds' worth. */
