--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -26,7 +26,7 @@
     private static final double[] BAD = {0.5};
     private static final double[] CROWD = {0.25, 0.5, 0.75, 1, 1.5, 2, 4};
     // --- The design's open figures.
-    private static final double BRISK = 0.15;      // of a start target: median answers past it shrink the bound
+    private static final double BRISK = 0.15;      // of a start target: past it the bound shrinks
     private static final double LOAD_MARK = 0.5;  // mean crowd a lane at arrival: k rises above it
     private static final double MOST_LANES = 2;    // lanes that count: more than cores only share the cores
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
