Clean-up after a read of the whole: one test for a cold worker, no work done twice

The cold span was tested in three places and now is in one; a waiting job's able workers were listed three times and a copy's load computed twice in the hot path; whether an execution waits for its load is settled when it is sent; unread fields (an execution's worker and time, a function's load time) are gone; the tests share one reader of a line's worker.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -61,8 +61,7 @@
     private final Slots<Job> jobs = new Slots<>();
     private final List<Job> waiting = new ArrayList<>();
     private final Window orders = new Window(), arrivals = new Window();
-    private final Histogram stretch = new Histogram(RATIOS);
-    private final Histogram failing = new Histogram(BAD);
+    private final Histogram stretch = new Histogram(RATIOS), failing = new Histogram(BAD);
     private final double[] customerCame;
     private double allCame;
     private boolean wholeList;
@@ -144,13 +143,14 @@
             Worker w = able.get(i);
             Belief b = belief(f, w);
             if (b != Belief.STANDS && (b != Belief.UNKNOWN || i >= f.target) || !maySend(j, w)) { continue; }
+            double load = load(f, w) + away(w);
             if (b == Belief.UNKNOWN) {
                 unknown = unknown == null ? w : unknown;
             } else if (i >= f.target) {
                 stray = stray == null ? w : stray;
-            } else if (load(f, w) + away(w) < least - (best == null ? 0 : STEP_ASIDE)) {
+            } else if (load < least - (best == null ? 0 : STEP_ASIDE)) {
                 best = w;
-                least = load(f, w) + away(w);
+                least = load;
             }
         }
         Worker to = best != null ? best : unknown != null ? unknown : stray;
@@ -337,7 +337,6 @@
         }
         f.lanes = lanes;
         f.size = size;
-        f.load = load;
         f.used = now;
         f.came++;
         f.open++;
@@ -369,11 +368,12 @@
                 continue;
             }
             Function f = j.function;
-            boolean forCopy = first(able(j), w -> f.at(w).belief == Belief.STANDS) == null;
-            boolean onItsWay = forCopy && first(able(j), w -> coming(f, w)) != null;
+            List<Worker> able = able(j);
+            boolean forCopy = first(able, w -> f.at(w).belief == Belief.STANDS) == null;
+            boolean onItsWay = forCopy && first(able, w -> coming(f, w)) != null;
             boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
-            Worker home = forCopy ? null : able(j).get(0); // its line: one busy worker turns away its own
+            Worker home = forCopy ? null : able.get(0); // its line: one busy worker turns away its own
             boolean crowdedOut = home != null
                 && home.ahead++ >= Math.max(2, rate(home) * seconds(j.of.target) / 2) * j.value / j.of.value;
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
@@ -399,7 +399,7 @@
         x.done = true;
         j.outstanding--;
         w.flying--;
-        w.loading -= x.stood || !loadsOnMiss ? 0 : 1;
+        w.loading -= x.loads ? 1 : 0;
         report(w, busy, held);
         if (crowd >= 0) { j.function.crowd.add((c.crowd = crowd) / Math.min(j.function.lanes, MOST_LANES)); }
         judge(j, x, w, end, took);
@@ -517,7 +517,7 @@
         if (w == null) {
             w = new Worker(worker, mark, RATIOS, BAD, SPANS);
             w.started = started;
-            w.empty = started != null && less(now.minus(started), coldSpan);
+            w.empty = cold(w);
             workers.set(worker, w);
         }
         if (started != null && !started.equals(w.started)) {
@@ -650,6 +650,8 @@
         return warmEnough(w);
     }
 
+    private boolean cold(Worker w) { return w.started != null && less(now.minus(w.started), coldSpan); }
+
     /** The share of its capacity that a worker has at the least, as it was a span of rule 4 ago. */
     private double warmth(Worker w) {
         if (w.started == null) { return 1; }
@@ -659,12 +661,10 @@
 
     /** Rule 4: this router's part of what a cold worker can take; a part below one job goes by turns. */
     private boolean warmEnough(Worker w) {
-        if (w.started == null || !less(now.minus(w.started), coldSpan)) { return true; }
+        if (!cold(w)) { return true; }
         int sent = w.coldSends.within(now, fallSpan);
-        double rate = Double.MAX_VALUE; // jobs a second that a warm worker surely bears: one after the other
-        for (Workload each : workloads) {
-            rate = Math.min(rate, 1 / seconds(usual(each)));
-        }
+        // Jobs a second that a warm worker surely bears: one after the other.
+        double rate = Arrays.stream(workloads).mapToDouble(x -> 1 / seconds(usual(x))).min().orElse(0);
         // All that the routers send a warm worker it does bear: this router's own part of that, as measured,
         // or an equal share of one job after the other; two thirds of it, since the two kinds can add up.
         double part = coldBudget * warmth(w) * seconds(fallSpan) * Math.max(rate, ownRate * routers) * 2 / 3;
@@ -673,7 +673,7 @@
     }
 
     private void send(Job j, Worker w) {
-        Execution x = new Execution(w.id, now, belief(j.function, w) == Belief.STANDS);
+        Execution x = new Execution(belief(j.function, w) == Belief.STANDS, loadsOnMiss);
         j.executions.add(x);
         j.outstanding++;
         if (j.mayHaveRun == 0 && j.outstanding == 1) {
@@ -681,9 +681,9 @@
             j.anchored = now;
         }
         w.flying++;
-        w.loading += x.stood || !loadsOnMiss ? 0 : 1; // waits for the load, takes no core
+        w.loading += x.loads ? 1 : 0; // waits for the load, takes no core
         j.function.at(w).used = now;
-        if (w.started != null && less(now.minus(w.started), coldSpan)) { w.coldSends.add(now); }
+        if (cold(w)) { w.coldSends.add(now); }
         out.send(j.id, w.id, j.limit.minus(now).minus(margin));
     }
 
--- a/src/main/java/switchgap/state/Execution.java
+++ b/src/main/java/switchgap/state/Execution.java
@@ -1,17 +1,13 @@
 package switchgap.state;
 
-import java.time.Duration;
-
-/** One try of a job at a worker. */
+/** One try of a job at a worker: whether a copy was thought to stand there, or the try waits for its load. */
 public final class Execution {
-    public final int worker;
-    public final Duration sent;
     public final boolean stood;
+    public final boolean loads;
     public boolean done;
 
-    public Execution(int worker, Duration sent, boolean stood) {
-        this.worker = worker;
-        this.sent = sent;
+    public Execution(boolean stood, boolean loadsOnMiss) {
         this.stood = stood;
+        this.loads = !stood && loadsOnMiss;
     }
 }
--- a/src/main/java/switchgap/state/Function.java
+++ b/src/main/java/switchgap/state/Function.java
@@ -9,7 +9,6 @@
     public final Histogram crowd;
     public int lanes = 1;
     public double size;
-    public Duration load;
     public int target = 1;
     public Worker[] order = {};
     public int orderOf = -1;
--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -35,6 +35,10 @@
 
     private static int home(Bench b) {
         String line = b.trace().lines().filter(l -> l.contains("send")).findFirst().orElseThrow();
+        return worker(line);
+    }
+
+    private static int worker(String line) {
         return line.charAt(line.indexOf("worker ") + 7) - '0';
     }
 
@@ -55,7 +59,7 @@
         same("fingerprinted-zone", erring(Repeat.FINGERPRINTED, Group.ZONE));
         for (int function = 1; function < 8; function++) { // the helper's zones are a worker's number modulo 2
             assertThat(erring(Repeat.FINGERPRINTED, Group.ZONE, function).trace().lines()
-                .filter(l -> l.contains("send")).map(l -> (l.charAt(l.indexOf("worker ") + 7) - '0') % 2).distinct())
+                .filter(l -> l.contains("send")).map(l -> worker(l) % 2).distinct())
                 .hasSize(1);
         }
     }
@@ -135,7 +139,7 @@
             b.at(10 + 50 * i, f -> b.job(f, job, job));
             String last = b.trace().lines().filter(l -> l.contains("send job " + job + " ")).findFirst().orElse(null);
             if (last != null) {
-                int w = last.charAt(last.indexOf("worker ") + 7) - '0';
+                int w = worker(last);
                 b.at(15 + 50 * i, f -> b.end(f, job, 0, w, End.MISS, 2, -1));
                 b.at(20 + 50 * i, f -> f.orderEnded(w, job, End.FINISHED, ms(5), 1));
             }
@@ -224,7 +228,7 @@
             int job = i;
             b.at(10 + 300 * i, f -> b.job(f, job, 0));
             String sent = b.trace().lines().filter(l -> l.contains("send job " + job)).findFirst().orElseThrow();
-            int at = sent.charAt(sent.indexOf("worker ") + 7) - '0';
+            int at = worker(sent);
             boolean errs = at == home(b) && i < 2;
             b.at(15 + 300 * i, f -> b.end(f, job, 0, at, errs ? End.ERROR : End.FINISHED, 5, 0));
             b.at(40 + 300 * i, f -> {
