--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -24,13 +24,14 @@
     private static final double[] SPANS = {1 / 16., 1 / 8., 1 / 4., 1 / 2., 1, 2, 4};
     private static final double[] RATIOS = {0.5, 1, 1.5, 2, 3, 5, 8};
     private static final double[] BAD = {0.5};
-    private static final double[] CROWD = {0.25, 0.5, 0.75, 1, 1.5, 2, 4};
+    private static final double[] CROWD = {0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48};
     // --- The design's open figures.
     private static final double BRISK = 0.15;      // of a start target: past it the bound shrinks
     private static final double LOAD_MARK = 0.5;  // mean crowd a lane at arrival: k rises above it
     private static final double MOST_LANES = 2;    // lanes that count: more than cores only share the cores
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
+    private static final double ENOUGH = 4;        // answers that tell of a function's crowd; more are halved
     private static final double MOST_COPIES = 0.5; // of the ready workers
     private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far, falls past 1.2
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
@@ -70,7 +71,8 @@
     private double ordersMost, ownRate;  // of load orders at a time; jobs a second at an average worker
     private Duration now = Duration.ZERO;
     private Duration nextSecond = Duration.ZERO, nextAsk = Duration.ZERO;
-    private Duration nextStep;
+    private Duration nextStep;           // the last wake-up asked for, and its number
+    private long wakes;
     private Decisions out;
 
     public Decide(Terms t, long seed) {
@@ -125,9 +127,10 @@
             nextSecond = now.plus(SECOND);
         }
         placeWaiting();
-        if (nextStep == null || !less(now, nextStep)) {
-            out.wake(step, 0);
-            nextStep = now.plus(step);
+        Duration due = waiting.isEmpty() ? nextSecond : least(now.plus(step), nextSecond);
+        if (nextStep == null || less(due, nextStep)) {
+            out.wake(due.minus(now), ++wakes);
+            nextStep = due;
         }
     }
 
@@ -290,7 +293,7 @@
 
     private void pace(Function f, int cap) {
         double n = f.crowd.total();
-        double crowd = n >= 0.5 ? f.crowd.sum() / n : 0;
+        double crowd = n >= 0.5 ? f.crowd.sum() / n / f.target : 0;
         boolean past = n >= 2 && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
         if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
         if (past && f.target < cap && planned + f.size <= MEMORY * room) {
@@ -312,7 +315,8 @@
         if (f.came > 0 && !(loadsOnMiss && f.target == 1)) {
             holdFirst(f, able(f).stream().limit(f.target).toList());
         }
-        f.crowd.halve();
+        // A router that hears of a function once in some seconds keeps what it heard for as long as copies live.
+        if (n > ENOUGH || f.came == 0 && !less(now.minus(f.used), keep)) { f.crowd.halve(); }
         f.came = 0;
         f.pressed = 0;
     }
@@ -401,14 +405,17 @@
         w.flying--;
         w.loading -= x.loads ? 1 : 0;
         report(w, busy, held);
-        if (crowd >= 0) { j.function.crowd.add((c.crowd = crowd) / Math.min(j.function.lanes, MOST_LANES)); }
+        if (crowd >= 0) { // waiting of all k copies, in lanes: of any k it stays true until the next answer
+            c.crowd = crowd;
+            j.function.crowd.add(crowd / Math.min(j.function.lanes, MOST_LANES) * j.function.target);
+        }
         judge(j, x, w, end, took);
         if (end == End.FINISHED) {
             c.belief = Belief.STANDS;
             c.used = now;
         } else if (end == End.MISS) {
             if (c.belief != Belief.ORDERED) { c.belief = Belief.ABSENT; }
-            if (hold(j.function, w)) { askOthers(j.function); }
+            hold(j.function, w);
         }
         if (!end.neverRan) { j.mayHaveRun++; }
         if (closed) {
@@ -437,20 +444,6 @@
         }
     }
 
-    /** A miss at home may mean that the copies are elsewhere: asking costs a probe, and moves no copy. */
-    private void askOthers(Function f) {
-        if (f.asked != null && less(now.minus(f.asked), keep)) { return; }
-        f.asked = now;
-        for (Worker w : order(f)) {
-            if (!shunned(w) && belief(f, w) == Belief.UNKNOWN) {
-                w.orders++;
-                f.orders++;
-                f.at(w).asked = true;
-                out.hold(w.id, f.id, 0);
-            }
-        }
-    }
-
     @Override public void orderEnded(int worker, int function, End end, Duration took, int standing) {
         Worker w = workers.get(worker);
         Function f = functions.get(function);
@@ -458,13 +451,6 @@
         w.orders--;
         Copy c = f.at(w);
         f.orders--;
-        if (c.asked) { // the answer to a question, which went out before any order
-            c.asked = false;
-            if (c.belief == Belief.ORDERED) { return; }
-            c.belief = standing > 0 ? Belief.STANDS : c.belief == Belief.UNKNOWN ? Belief.ABSENT : c.belief;
-            c.used = standing > 0 ? now : c.used;
-            return;
-        }
         if (c.belief != Belief.ORDERED) { return; }
         ordersOut--;
         c.belief = standing > 0 ? Belief.STANDS : Belief.ABSENT;
@@ -487,7 +473,7 @@
 
     @Override public void streamBegan(int job, int execution) { } // the client has it now; its end will come
 
-    @Override public void timer(long token) { nextStep = null; }
+    @Override public void timer(long token) { nextStep = token == wakes ? null : nextStep; }
 
     @Override public void probed(int worker, End end, Duration took, double busy, double held,
                                  double queued) {
--- a/src/main/java/switchgap/state/Copy.java
+++ b/src/main/java/switchgap/state/Copy.java
@@ -10,6 +10,5 @@
     public Belief belief = Belief.UNKNOWN;
     public Duration used;
     public Duration ordered;
-    public boolean asked;
     public double crowd;
 }
--- a/src/main/java/switchgap/state/Function.java
+++ b/src/main/java/switchgap/state/Function.java
@@ -18,7 +18,6 @@
     public int pressed;
     public Duration used;
     public Duration busySince;
-    public Duration asked;
     private final Slots<Copy> copies = new Slots<>();
 
     public Function(int id, long mark, double[] crowdEdges) {
