--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -8,7 +8,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.function.Predicate;
 import switchgap.port.*;
 import switchgap.state.*;
 import switchgap.state.Copy.Belief;
@@ -25,6 +24,7 @@
     private static final double[] RATIOS = {0.5, 1, 1.5, 2, 3, 5, 8};
     private static final double[] BAD = {0.5};
     private static final double[] CROWD = {0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48};
+    private static final double[] JOBS = {1, 2, 3, 4, 6, 8, 12, 16, 24};
     // --- The design's open figures.
     private static final double BRISK = 0.15;      // of a start target: past it the bound shrinks
     private static final double LOAD_MARK = 0.5;  // mean crowd a lane at arrival: k rises above it
@@ -36,6 +36,8 @@
     private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far, falls past 1.2
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
+    private static final double FURTHER = 4;       // workers past k that are looked at, and k more
+    private static final double FADE = 1;          // seconds in which half of what was told is old news
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
     private static final double TOO_SHORT = 1.5;   // of the expected time: a nearer limit is hopeless
     private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
@@ -44,6 +46,7 @@
 
     // --- Figures derived from the terms.
     private final int self, zone, routers, mostExecutions;
+    private final double part;          // of a place at each worker, this router's own
     private final Duration margin;      // before a time limit: two ticks, so that an answer is never late
     private final Duration step, soonest; // between looks at what waits; the shortest start target
     private final Workload[] workloads;
@@ -62,9 +65,13 @@
     private final Slots<Job> jobs = new Slots<>();
     private final List<Job> waiting = new ArrayList<>();
     private final Window orders = new Window(), arrivals = new Window();
+    private final Histogram crowds = new Histogram(JOBS);
     private final Histogram stretch = new Histogram(RATIOS), failing = new Histogram(BAD);
     private final double[] customerCame;
     private double allCame;
+    private Worker met;                  // the first worker that the last place() met,
+    private boolean stands, awaited;     // ... whether a copy stood and whether one was on its way
+    private double usualOthers = 1;
     private boolean wholeList;
     private int listing, ready, ordersOut;
     private double room, planned;        // memory of all ready workers; what the copies at their targets take
@@ -81,6 +88,7 @@
         zone = t.zone();
         crossingPriced = t.crossingPrice() > 0;
         routers = Math.max(1, t.routers());
+        part = Math.min(1, ROOM / routers);
         margin = t.tick().multipliedBy(2);
         workloads = new Workload[t.workloads()];
         Duration first = t.startTarget(0);
@@ -136,36 +144,52 @@
 
     // ------------------------------------------------------------------ the ordinary path
 
-    /** The design's path: the first of k copies in hash order that is not beyond the bound, else onward. */
+    /**
+     * The design's path: the first of k copies in hash order that is not beyond the bound, else onward. Where the
+     * routers outnumber the places at a worker a bound of a part of a job is kept by chance: see ROOM.
+     */
     private boolean place(Job j) {
         Function f = j.function;
-        List<Worker> able = able(j);
-        Worker best = null, unknown = null, stray = null;
+        Worker best = null, unknown = null, stray = null, more = null, loader = null;
+        boolean avoid = j.failedAt.cardinality() < ready;
+        boolean guess = part < 1 && !loadsOnMiss && j.executions.size() + 1 < mostExecutions; // a miss is cheap
+        boolean beyond = false;
         double least = Double.MAX_VALUE;
-        for (int i = 0; i < able.size() && (i < f.target || best == null); i++) {
-            Worker w = able.get(i);
+        int i = 0;
+        met = null;
+        stands = false;
+        awaited = false;
+        for (Worker w : order(f)) {
+            if (shunned(w) || avoid && j.failedAt.get(w.id)) { continue; }
+            boolean home = i++ < f.target;
+            if (!home && (best != null || stray != null || i > 2 * f.target + FURTHER)) { break; }
             Belief b = belief(f, w);
-            if (b != Belief.STANDS && (b != Belief.UNKNOWN || i >= f.target) || !maySend(j, w)) { continue; }
-            double load = load(f, w) + away(w);
-            if (b == Belief.UNKNOWN) {
+            met = met == null ? w : met;
+            stands |= b == Belief.STANDS;
+            awaited |= b == Belief.ORDERED;
+            boolean fits = maySend(j, w) && hasRoom(w);
+            beyond |= home && b == Belief.STANDS && !fits;
+            loader = home && fits && loader == null ? w : loader;
+            if (b == Belief.STANDS && !home && fits) {
+                stray = w;
+            } else if (home && fits && (b == Belief.STANDS || b == Belief.UNKNOWN && guess)) {
+                double load = load(w) + away(w) + (b == Belief.UNKNOWN ? STEP_ASIDE : 0)
+                    + chance.nextDouble() * STEP_ASIDE * (1 - part);
+                if (load < least - (best == null ? 0 : STEP_ASIDE * part)) {
+                    best = w;
+                    least = load;
+                }
+            } else if (home && fits && b == Belief.UNKNOWN) {
                 unknown = unknown == null ? w : unknown;
-            } else if (i >= f.target) {
-                stray = stray == null ? w : stray;
-            } else if (load < least - (best == null ? 0 : STEP_ASIDE)) {
-                best = w;
-                least = load;
+            } else if (!home && more == null && b != Belief.ORDERED && hasRoom(w)) {
+                more = w;
             }
         }
         Worker to = best != null ? best : unknown != null ? unknown : stray;
-        if (to == null && loadsOnMiss) {
-            to = first(able, w -> maySend(j, w)); // the worker loads by itself while the job waits there
-        }
-        if (to != null && !hasRoom(to)) {
-            f.pressed++;
-            to = onward(j, able);
-        }
-        List<Worker> home = able.subList(0, Math.min(f.target, able.size()));
-        if (best == null && unknown == null && first(home, w -> coming(f, w)) == null) { holdFirst(f, home); }
+        if (best == null && beyond) { f.pressed++; }
+        if (to == null && loadsOnMiss) { to = loader; } // it loads by itself while the job waits there
+        if (to == null && beyond && more != null && planned + f.size <= MEMORY * room) { hold(f, more); }
+        if (best == null && unknown == null && !awaited && !beyond) { holdFirst(f); }
         if (to == null) { return false; }
         send(j, to);
         return true;
@@ -181,42 +205,15 @@
             && (w.rest == null || !less(now, w.rest));
     }
 
-    /** Beyond the bound at all k copies: the next in hash order that stands, and one more if none does. */
-    private Worker onward(Job j, List<Worker> able) {
-        Function f = j.function;
-        Worker next = first(able, w -> belief(f, w) == Belief.STANDS && hasRoom(w) && maySend(j, w));
-        Worker more = next != null ? null : first(able, w -> f.at(w).belief != Belief.STANDS && hasRoom(w));
-        if (more != null && planned + f.size <= MEMORY * room) { hold(f, more); }
-        return next;
-    }
-
-    private static Worker first(List<Worker> able, Predicate<Worker> fit) {
-        return able.stream().filter(fit).findFirst().orElse(null);
-    }
-
-    private static boolean coming(Function f, Worker w) {
-        return f.at(w).belief == Belief.ORDERED || f.at(w).belief == Belief.STANDS;
-    }
-
     /** Orders the first of the k copies that does not stand. */
-    private void holdFirst(Function f, List<Worker> copies) {
-        for (Worker w : copies) {
-            if (belief(f, w) != Belief.STANDS && hold(f, w)) { return; }
+    private void holdFirst(Function f) {
+        int i = 0;
+        for (Worker w : order(f)) {
+            if (shunned(w)) { continue; }
+            if (i++ >= f.target || belief(f, w) != Belief.STANDS && hold(f, w)) { return; }
         }
     }
 
-    private List<Worker> able(Function f) {
-        return Arrays.stream(order(f)).filter(w -> !shunned(w)).toList();
-    }
-
-    /** For a job that failed at some workers the copies are the first k of the others, if any. */
-    private List<Worker> able(Job j) {
-        List<Worker> all = able(j.function);
-        if (j.failedAt.isEmpty()) { return all; }
-        List<Worker> others = all.stream().filter(w -> !j.failedAt.get(w.id)).toList();
-        return others.isEmpty() ? all : others;
-    }
-
     /** All ready workers, by rendezvous hashing of worker and function: the same order at every router. */
     private Worker[] order(Function f) {
         if (f.orderOf != listing) {
@@ -243,11 +240,15 @@
         return x ^ (x >>> 31);
     }
 
-    /** What a further job would meet: own jobs, half of what others held (old news), by slowness. */
-    private double load(Function f, Worker w) {
-        boolean fresh = w.reported != null && less(now.minus(w.reported), SECOND);
-        double others = fresh && !Double.isNaN(w.held) ? w.held - w.flying : f.at(w).crowd;
-        return (w.flying - w.loading + 1 + Math.max(0, others) / 2) * w.slowness / warmth(w);
+    /** What a further job would meet: own jobs and what others held, by slowness. */
+    private double load(Worker w) {
+        return (w.flying - w.loading + 1 + others(w)) * w.slowness / warmth(w);
+    }
+
+    /** Others' jobs at a worker: what its last answer told, which fades to the usual within seconds. */
+    private double others(Worker w) {
+        if (w.reported == null) { return usualOthers; }
+        return usualOthers + (w.others - usualOthers) * Math.pow(0.5, seconds(now.minus(w.reported)) / FADE);
     }
 
     /** Measured rate times half a target, and a few jobs; a floor, or pushbacks feed on themselves. */
@@ -273,6 +274,8 @@
             ownRate += w.standing == Standing.READY ? rate(w) / ready : 0;
             w.took.halve();
         }
+        usualOthers = (crowds.sum() + 1) / (crowds.total() + 1);
+        if (crowds.total() > 64) { crowds.halve(); }
         stretch.halve();
         failing.halve();
         int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
@@ -294,11 +297,12 @@
     private void pace(Function f, int cap) {
         double n = f.crowd.total();
         double crowd = n >= 0.5 ? f.crowd.sum() / n / f.target : 0;
-        boolean past = n >= 2 && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
+        boolean past = n >= 1 + part && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
         if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
         if (past && f.target < cap && planned + f.size <= MEMORY * room) {
-            f.target++;
-            planned += f.size;
+            int steps = (int) Math.max(1, Math.min(cap - f.target, (crowd / LOAD_MARK - 1) * f.target / 2 * (1 - part)));
+            f.target += steps;
+            planned += steps * f.size;
         } else if (f.target > 1 && (!past && planned > 1.2 * MEMORY * room
             || !less(now.minus(f.busySince), times(keep, FALL_AFTER)))) { // at once: memory is overplanned
             f.target--;
@@ -312,8 +316,8 @@
             }
         }
         f.target = Math.min(f.target, Math.max(1, cap));
-        if (f.came > 0 && !(loadsOnMiss && f.target == 1)) {
-            holdFirst(f, able(f).stream().limit(f.target).toList());
+        if (f.came > 0 && (loadsOnMiss ? f.target > 1 : part >= 1)) { // else a miss tells what lacks
+            holdFirst(f);
         }
         // A router that hears of a function once in some seconds keeps what it heard for as long as copies live.
         if (n > ENOUGH || f.came == 0 && !less(now.minus(f.used), keep)) { f.crowd.halve(); }
@@ -371,13 +375,10 @@
                 j.waiting = false;
                 continue;
             }
-            Function f = j.function;
-            List<Worker> able = able(j);
-            boolean forCopy = first(able, w -> f.at(w).belief == Belief.STANDS) == null;
-            boolean onItsWay = forCopy && first(able, w -> coming(f, w)) != null;
+            boolean onItsWay = !stands && awaited; // as place() just met it
             boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
-            Worker home = forCopy ? null : able.get(0); // its line: one busy worker turns away its own
+            Worker home = stands ? met : null; // its line: one busy worker turns away its own
             boolean crowdedOut = home != null
                 && home.ahead++ >= Math.max(2, rate(home) * seconds(j.of.target) / 2) * j.value / j.of.value;
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
@@ -404,9 +405,8 @@
         j.outstanding--;
         w.flying--;
         w.loading -= x.loads ? 1 : 0;
-        report(w, busy, held);
+        report(w, held, crowd, end == End.FULL);
         if (crowd >= 0) { // waiting of all k copies, in lanes: of any k it stays true until the next answer
-            c.crowd = crowd;
             j.function.crowd.add(crowd / Math.min(j.function.lanes, MOST_LANES) * j.function.target);
         }
         judge(j, x, w, end, took);
@@ -479,15 +479,17 @@
                                  double queued) {
         Worker w = workers.get(worker);
         if (w != null) {
-            report(w, busy, held);
+            report(w, held, -1, false);
             if (end != End.FINISHED) { fail(w, true); }
         }
     }
 
-    private void report(Worker w, double busy, double held) {
-        if (Double.isNaN(busy) && Double.isNaN(held)) { return; }
-        w.held = held;
+    private void report(Worker w, double held, int crowd, boolean full) {
+        if (Double.isNaN(held) && crowd < 0 && !full) { return; }
+        double told = Double.isNaN(held) ? Math.max(crowd, others(w)) : held - w.flying;
+        w.others = Math.max(0, full ? Math.max(told, ROOM) : told);
         w.reported = now;
+        crowds.add(w.others);
     }
 
     // ------------------------------------------------------------------ the list of workers
--- a/src/main/java/switchgap/state/Copy.java
+++ b/src/main/java/switchgap/state/Copy.java
@@ -10,5 +10,4 @@
     public Belief belief = Belief.UNKNOWN;
     public Duration used;
     public Duration ordered;
-    public double crowd;
 }
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -28,7 +28,7 @@
     public boolean onTrial;
     public Duration shunned;
     public Duration rest;
-    public double held = Double.NaN;
+    public double others;
     public Duration reported;
     public double slowness = 1;
 
