--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -51,7 +51,7 @@
     private final Duration step, soonest; // between looks at what waits; the shortest start target
     private final Workload[] workloads;
     private final double[] fairShare, kindMemory;
-    private final boolean second, crossingPriced, sizesTold, mayCancel, mayOrder, loadsOnMiss, drops;
+    private final boolean second, crossingPriced, sizesTold, mayCancel, mayOrder, mayProbe, loadsOnMiss, drops;
     private final Duration comeBack;    // null: no advice
     private final Duration keep, rationSpan, coldSpan, fallSpan;
     private final double rationFree, rationShare, overShare, coldShare;
@@ -70,6 +70,7 @@
     private final double[] customerCame;
     private double allCame;
     private Worker met;                  // the first worker that the last place() met,
+    private boolean told = true;         // whether probes tell a load
     private boolean stands, awaited;     // ... whether a copy stood and whether one was on its way
     private double usualOthers = 1;
     private boolean wholeList;
@@ -79,7 +80,7 @@
     private Duration now = Duration.ZERO;
     private Duration nextSecond = Duration.ZERO, nextAsk = Duration.ZERO;
     private Duration nextStep;           // the last wake-up asked for, and its number
-    private long wakes;
+    private long wakes, seconds;
     private Decisions out;
 
     public Decide(Terms t, long seed) {
@@ -108,6 +109,7 @@
         comeBack = t.tellsComeBack() ? least(t.mostComeBack(), soonest) : null;
         loadsOnMiss = t.loadsOnMiss();
         mayOrder = t.mayOrder();
+        mayProbe = t.mayProbe();
         keep = t.keepAlive();
         kindMemory = t.kindMemory();
         sizesTold = t.sizesTold();
@@ -150,7 +152,7 @@
      */
     private boolean place(Job j) {
         Function f = j.function;
-        Worker best = null, unknown = null, stray = null, more = null, loader = null;
+        Worker best = null, second = null, unknown = null, stray = null, more = null, loader = null;
         boolean avoid = j.failedAt.cardinality() < ready;
         boolean guess = part < 1 && !loadsOnMiss && j.executions.size() + 1 < mostExecutions; // a miss is cheap
         boolean beyond = false;
@@ -176,8 +178,11 @@
                 double load = load(w) + away(w) + (b == Belief.UNKNOWN ? STEP_ASIDE : 0)
                     + chance.nextDouble() * STEP_ASIDE * (1 - part);
                 if (load < least - (best == null ? 0 : STEP_ASIDE * part)) {
+                    second = best;
                     best = w;
                     least = load;
+                } else {
+                    second = second == null ? w : second;
                 }
             } else if (home && fits && b == Belief.UNKNOWN) {
                 unknown = unknown == null ? w : unknown;
@@ -186,6 +191,7 @@
             }
         }
         Worker to = best != null ? best : unknown != null ? unknown : stray;
+        if (second != null && j.lookBy == null && look(j, best, second)) { return false; }
         if (best == null && beyond) { f.pressed++; }
         if (to == null && loadsOnMiss) { to = loader; } // it loads by itself while the job waits there
         if (to == null && beyond && more != null && planned + f.size <= MEMORY * room) { hold(f, more); }
@@ -195,6 +201,20 @@
         return true;
     }
 
+    /** Asks two copies how loaded they are, where answers come too seldom to tell; the job waits for a look. */
+    private boolean look(Job j, Worker a, Worker b) {
+        if (part == 1 || !mayProbe || !told) { return false; }
+        j.lookBy = now.plus(step);
+        j.looks = 0;
+        for (Worker w : List.of(a, b)) {
+            if (w.reported != null && less(now.minus(w.reported), soonest.dividedBy(4))) { continue; }
+            if (w.looks.isEmpty()) { out.probe(w.id); }
+            w.looks.add(j);
+            j.looks++;
+        }
+        return j.looks > 0;
+    }
+
     /** Where crossing zones is priced, a copy in the own zone goes first unless more loaded. */
     private double away(Worker w) {
         return crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0;
@@ -265,11 +285,12 @@
     /** Each second: k rises past the load mark, falls after some seconds under the unload mark. */
     private void eachSecond() {
         ownRate = 0;
+        seconds++;
         double all = (stretch.sum() + 4) / (stretch.total() + 4);
         for (Worker w : workers) {
             w.slowness = Math.max(0.5, (w.slow.sum() + 4 * all) / (w.slow.total() + 4) / all);
             if (w.slowness > SLOW && w.slow.total() >= 4) { strike(w); }
-            w.slow.halve();
+            if (w.slow.total() > ENOUGH || seconds % 8 == 0) { w.slow.halve(); }
             w.bad.halve();
             ownRate += w.standing == Standing.READY ? rate(w) / ready : 0;
             w.took.halve();
@@ -296,8 +317,8 @@
 
     private void pace(Function f, int cap) {
         double n = f.crowd.total();
-        double crowd = n >= 0.5 ? f.crowd.sum() / n / f.target : 0;
-        boolean past = n >= 1 + part && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
+        double crowd = n >= 0.5 ? f.crowd.sum() / (n + 1 - part) / f.target : 0;
+        boolean past = n >= (part < 1 ? 0.5 : 2) && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
         if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
         if (past && f.target < cap && planned + f.size <= MEMORY * room) {
             int steps = (int) Math.max(1, Math.min(cap - f.target, (crowd / LOAD_MARK - 1) * f.target / 2 * (1 - part)));
@@ -371,6 +392,10 @@
         List<Job> still = new ArrayList<>();
         for (Job j : waiting) {
             if (j.closed || !j.waiting) { continue; }
+            if (j.looks > 0 && less(now, j.lookBy)) {
+                still.add(j);
+                continue;
+            }
             if (place(j)) {
                 j.waiting = false;
                 continue;
@@ -479,7 +504,10 @@
                                  double queued) {
         Worker w = workers.get(worker);
         if (w != null) {
-            report(w, held, -1, false);
+            w.looks.forEach(j -> j.looks--);
+            w.looks.clear();
+            told = !Double.isNaN(held + queued) || !Double.isNaN(held) || !Double.isNaN(queued);
+            report(w, Double.isNaN(held) ? queued + w.flying : held, -1, false);
             if (end != End.FINISHED) { fail(w, true); }
         }
     }
--- a/src/main/java/switchgap/state/Job.java
+++ b/src/main/java/switchgap/state/Job.java
@@ -21,6 +21,8 @@
     public Worker anchor;
     public Duration anchored;
     public boolean closed;
+    public Duration lookBy;
+    public int looks;
     public boolean waiting;
 
     public Job(int id, Workload of, Function function, Duration arrived, Duration limit,
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -1,6 +1,8 @@
 package switchgap.state;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 
 import switchgap.port.Standing;
 
@@ -21,6 +23,7 @@
     public double weight;
     public Duration started;
     public int flying;
+    public final List<Job> looks = new ArrayList<>();
     public int ahead;
     public int loading;
     public int orders;
