--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -27,7 +27,7 @@
     private static final double[] JOBS = {1, 2, 3, 4, 6, 8, 12, 16, 24};
     // --- The design's open figures.
     private static final double BRISK = 0.15;      // of a start target: past it the bound shrinks
-    private static final double LOAD_MARK = 0.5;  // mean crowd a lane at arrival: k rises above it
+    private static final double LOAD_MARK = 0.25; // mean crowd a lane at arrival: k rises above it
     private static final double MOST_LANES = 2;    // lanes that count: more than cores only share the cores
     private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
     private static final double FALL_AFTER = 1;    // of the keep-alive
@@ -321,7 +321,7 @@
         boolean past = n >= (part < 1 ? 0.5 : 2) && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
         if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
         if (past && f.target < cap && planned + f.size <= MEMORY * room) {
-            int steps = (int) Math.max(1, Math.min(cap - f.target, (crowd / LOAD_MARK - 1) * f.target / 2 * (1 - part)));
+            int steps = (int) Math.max(1, Math.min(cap - f.target, (crowd / LOAD_MARK - 1) * f.target * (1 - part)));
             f.target += steps;
             planned += steps * f.size;
         } else if (f.target > 1 && (!past && planned > 1.2 * MEMORY * room
