Past what a worker may hold of all routers jobs go there by chance, fewer over their share

Cause: in overload each router's floor of a job or two adds up, queues stand at full and everything is late. The bound is the measured one, rate times target, of what all routers hold; a job goes past it with the odds of bound over load, drawn once. Harms: a hot function's jobs may be held back while other workers idle, until k follows.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -169,7 +169,7 @@
             met = met == null ? w : met;
             stands |= b == Belief.STANDS;
             awaited |= b == Belief.ORDERED;
-            boolean fits = maySend(j, w) && hasRoom(w);
+            boolean fits = maySend(j, w) && hasRoom(j, w);
             beyond |= home && b == Belief.STANDS && !fits;
             loader = home && fits && loader == null ? w : loader;
             if (b == Belief.STANDS && !home && fits) {
@@ -186,7 +186,7 @@
                 }
             } else if (home && fits && b == Belief.UNKNOWN) {
                 unknown = unknown == null ? w : unknown;
-            } else if (!home && more == null && b != Belief.ORDERED && hasRoom(w)) {
+            } else if (!home && more == null && b != Belief.ORDERED && hasRoom(j, w)) {
                 more = w;
             }
         }
@@ -220,8 +220,8 @@
         return crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0;
     }
 
-    private boolean hasRoom(Worker w) {
-        return w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
+    private boolean hasRoom(Job j, Worker w) {
+        return (part == 1 || others(w) * w.slowness * j.luck < places(j.of)) && w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
             && (w.rest == null || !less(now, w.rest));
     }
 
@@ -271,6 +271,11 @@
         return usualOthers + (w.others - usualOthers) * Math.pow(0.5, seconds(now.minus(w.reported)) / FADE);
     }
 
+    /** What a worker may hold of all routers: jobs met there over the time they took, times the target. */
+    private double places(Workload of) {
+        return of.took.total() < 1 ? ROOM : (1 + usualOthers) * of.took.total() / of.took.sum();
+    }
+
     /** Measured rate times half a target, and a few jobs; a floor, or pushbacks feed on themselves. */
     private double bound(Worker w) {
         double spent = w.took.total() < 1 ? 0 : w.took.quantile(0.5); // of a target; blind to loads
@@ -378,6 +383,7 @@
             over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
         }
         j.value = j.of.value * (over ? overShare : 1);
+        j.luck = chance.nextDouble() * j.of.value / j.value; // past what a worker may hold some jobs are held back
         jobs.set(job, j);
         if (!rationSpan.isZero()) { arrivals.add(now); }
         // Whoever gives up sooner than we can answer only fills the workers, and more so as it tries again.
--- a/src/main/java/switchgap/state/Job.java
+++ b/src/main/java/switchgap/state/Job.java
@@ -16,6 +16,7 @@
     public final List<Execution> executions = new ArrayList<>(2);
     public final BitSet failedAt = new BitSet();
     public double value;
+    public double luck;
     public int outstanding;
     public int mayHaveRun;
     public Worker anchor;
