--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -94,7 +94,7 @@
         workloads = new Workload[t.workloads()];
         Duration first = t.startTarget(0);
         for (int i = 0; i < workloads.length; i++) {
-            workloads[i] = new Workload(t, i, SPANS);
+            workloads[i] = new Workload(t, i, SPANS, JOBS);
             first = least(first, workloads[i].target);
         }
         soonest = first;
@@ -273,7 +273,7 @@
 
     /** What a worker may hold of all routers: jobs met there over the time they took, times the target. */
     private double places(Workload of) {
-        return of.took.total() < 1 ? ROOM : (1 + usualOthers) * of.took.total() / of.took.sum();
+        return of.took.total() < 1 ? ROOM : (of.took.total() + of.met.sum()) / of.took.sum();
     }
 
     /** Measured rate times half a target, and a few jobs; a floor, or pushbacks feed on themselves. */
@@ -436,7 +436,7 @@
         j.outstanding--;
         w.flying--;
         w.loading -= x.loads ? 1 : 0;
-        report(w, held, crowd, end == End.FULL);
+        report(j.of, w, held, crowd, end == End.FULL);
         if (crowd >= 0) { // waiting of all k copies, in lanes: of any k it stays true until the next answer
             j.function.crowd.add(crowd / Math.min(j.function.lanes, MOST_LANES) * j.function.target);
         }
@@ -513,15 +513,15 @@
             w.looks.forEach(j -> j.looks--);
             w.looks.clear();
             told = !Double.isNaN(held + queued) || !Double.isNaN(held) || !Double.isNaN(queued);
-            report(w, Double.isNaN(held) ? queued + w.flying : held, -1, false);
+            report(null, w, Double.isNaN(held) ? queued + w.flying : held, -1, false);
             if (end != End.FINISHED) { fail(w, true); }
         }
     }
 
-    private void report(Worker w, double held, int crowd, boolean full) {
+    private void report(Workload of, Worker w, double held, int crowd, boolean full) {
         if (Double.isNaN(held) && crowd < 0 && !full) { return; }
         double told = Double.isNaN(held) ? Math.max(crowd, others(w)) : held - w.flying;
-        w.others = Math.max(0, full ? Math.max(told, ROOM) : told);
+        w.others = Math.max(0, full ? Math.max(told, 2 * Math.max(others(w), places(of))) : told);
         w.reported = now;
         crowds.add(w.others);
     }
@@ -598,6 +598,7 @@
                 w.slow.add(seconds(took) / u);
                 stretch.add(seconds(took) / u);
                 j.of.took.add(seconds(took) / seconds(j.of.target));
+                j.of.met.add(w.others);
             }
             w.bad.add(0);
             failing.add(0);
--- a/src/main/java/switchgap/state/Workload.java
+++ b/src/main/java/switchgap/state/Workload.java
@@ -14,14 +14,16 @@
     public final Repeat repeat;
     public final Group group;
     public final Histogram took;
+    public final Histogram met;
 
-    public Workload(Terms t, int index, double[] tookEdges) {
+    public Workload(Terms t, int index, double[] tookEdges, double[] metEdges) {
         target = t.startTarget(index);
         memory = t.memorySpan(index);
         value = t.importance(index);
         late = t.lateShare(index);
         repeat = t.repeat(index);
         group = t.group(index);
+        met = new Histogram(metEdges);
         took = new Histogram(tookEdges);
     }
 }
