--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -38,6 +38,7 @@
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double FURTHER = 4;       // workers past k that are looked at, and k more
     private static final double FADE = 1;          // seconds in which half of what was told is old news
+    private static final double BUSY = 0.9;        // of its cores: below it what waits does not wait for them
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
     private static final double TOO_SHORT = 1.5;   // of the expected time: a nearer limit is hopeless
     private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
@@ -221,7 +222,7 @@
     }
 
     private boolean hasRoom(Job j, Worker w) {
-        return (part == 1 || others(w) * w.slowness * j.luck < places(j.of)) && w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
+        return (part == 1 || w.busy < BUSY || others(w) * w.slowness * Math.min(1, j.luck) < places(j.of)) && w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
             && (w.rest == null || !less(now, w.rest));
     }
 
@@ -436,7 +437,7 @@
         j.outstanding--;
         w.flying--;
         w.loading -= x.loads ? 1 : 0;
-        report(j.of, w, held, crowd, end == End.FULL);
+        report(j.of, w, busy, held, crowd, end == End.FULL);
         if (crowd >= 0) { // waiting of all k copies, in lanes: of any k it stays true until the next answer
             j.function.crowd.add(crowd / Math.min(j.function.lanes, MOST_LANES) * j.function.target);
         }
@@ -513,16 +514,17 @@
             w.looks.forEach(j -> j.looks--);
             w.looks.clear();
             told = !Double.isNaN(held + queued) || !Double.isNaN(held) || !Double.isNaN(queued);
-            report(null, w, Double.isNaN(held) ? queued + w.flying : held, -1, false);
+            report(null, w, busy, Double.isNaN(held) ? queued + w.flying : held, -1, false);
             if (end != End.FINISHED) { fail(w, true); }
         }
     }
 
-    private void report(Workload of, Worker w, double held, int crowd, boolean full) {
+    private void report(Workload of, Worker w, double busy, double held, int crowd, boolean full) {
         if (Double.isNaN(held) && crowd < 0 && !full) { return; }
         double told = Double.isNaN(held) ? Math.max(crowd, others(w)) : held - w.flying;
         w.others = Math.max(0, full ? Math.max(told, 2 * Math.max(others(w), places(of))) : told);
         w.reported = now;
+        w.busy = full || Double.isNaN(busy) ? 1 : busy;
         crowds.add(w.others);
     }
 
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -32,6 +32,7 @@
     public Duration shunned;
     public Duration rest;
     public double others;
+    public double busy = 1;
     public Duration reported;
     public double slowness = 1;
 
