--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -170,8 +170,9 @@
             met = met == null ? w : met;
             stands |= b == Belief.STANDS;
             awaited |= b == Belief.ORDERED;
-            boolean fits = maySend(j, w) && hasRoom(j, w);
-            beyond |= home && b == Belief.STANDS && !fits;
+            boolean may = maySend(j, w);
+            boolean fits = may && hasRoom(j, w);
+            beyond |= home && may && !fits && (b == Belief.STANDS || b == Belief.UNKNOWN);
             loader = home && fits && loader == null ? w : loader;
             if (b == Belief.STANDS && !home && fits) {
                 stray = w;
@@ -195,7 +196,7 @@
         if (second != null && j.lookBy == null && look(j, best, second)) { return false; }
         if (best == null && beyond) { f.pressed++; }
         if (to == null && loadsOnMiss) { to = loader; } // it loads by itself while the job waits there
-        if (to == null && beyond && more != null && planned + f.size <= MEMORY * room) { hold(f, more); }
+        if (to == null && beyond && !awaited && more != null && planned + f.size <= MEMORY * room) { hold(f, more); }
         if (best == null && unknown == null && !awaited && !beyond) { holdFirst(f); }
         if (to == null) { return false; }
         send(j, to);
@@ -347,7 +348,7 @@
             holdFirst(f);
         }
         // A router that hears of a function once in some seconds keeps what it heard for as long as copies live.
-        if (n > ENOUGH || f.came == 0 && !less(now.minus(f.used), keep)) { f.crowd.halve(); }
+        if (part == 1 || n > ENOUGH || f.came == 0 && !less(now.minus(f.used), keep)) { f.crowd.halve(); }
         f.came = 0;
         f.pressed = 0;
     }
