--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -52,7 +52,7 @@
     private final Duration step, soonest; // between looks at what waits; the shortest start target
     private final Workload[] workloads;
     private final double[] fairShare, kindMemory;
-    private final boolean second, crossingPriced, sizesTold, mayCancel, mayOrder, mayProbe, loadsOnMiss, drops;
+    private final boolean second, crossingPriced, sizesTold, loadsOnMiss, drops, mayCancel, mayOrder, mayAsk;
     private final Duration comeBack;    // null: no advice
     private final Duration keep, rationSpan, coldSpan, fallSpan;
     private final double rationFree, rationShare, overShare, coldShare;
@@ -110,7 +110,7 @@
         comeBack = t.tellsComeBack() ? least(t.mostComeBack(), soonest) : null;
         loadsOnMiss = t.loadsOnMiss();
         mayOrder = t.mayOrder();
-        mayProbe = t.mayProbe();
+        mayAsk = t.mayProbe();
         keep = t.keepAlive();
         kindMemory = t.kindMemory();
         sizesTold = t.sizesTold();
@@ -148,20 +148,19 @@
     // ------------------------------------------------------------------ the ordinary path
 
     /**
-     * The design's path: the first of k copies in hash order that is not beyond the bound, else onward. Where the
-     * routers outnumber the places at a worker a bound of a part of a job is kept by chance: see ROOM.
+     * The design's path: the first of k copies in hash order that is not beyond the bound, else onward. Where
+     * the routers outnumber the places at a worker, the bound is part of a job and is kept by chance.
      */
     private boolean place(Job j) {
         Function f = j.function;
-        Worker best = null, second = null, unknown = null, stray = null, more = null, loader = null;
+        Worker best = null, other = null, unknown = null, stray = null, more = null, loader = null;
         boolean avoid = j.failedAt.cardinality() < ready;
-        boolean guess = part < 1 && !loadsOnMiss && j.executions.size() + 1 < mostExecutions; // a miss is cheap
+        boolean guess = part < 1 && !loadsOnMiss && j.executions.size() + 1 < mostExecutions;
         boolean beyond = false;
         double least = Double.MAX_VALUE;
         int i = 0;
         met = null;
-        stands = false;
-        awaited = false;
+        stands = awaited = false;
         for (Worker w : order(f)) {
             if (shunned(w) || avoid && j.failedAt.get(w.id)) { continue; }
             boolean home = i++ < f.target;
@@ -177,35 +176,37 @@
             if (b == Belief.STANDS && !home && fits) {
                 stray = w;
             } else if (home && fits && (b == Belief.STANDS || b == Belief.UNKNOWN && guess)) {
-                double load = load(w) + away(w) + (b == Belief.UNKNOWN ? STEP_ASIDE : 0)
+                double load = load(w) + (b == Belief.UNKNOWN ? STEP_ASIDE : 0)
+                    + (crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0) // own zone unless more loaded
                     + chance.nextDouble() * STEP_ASIDE * (1 - part);
                 if (load < least - (best == null ? 0 : STEP_ASIDE * part)) {
-                    second = best;
+                    other = best;
                     best = w;
                     least = load;
-                } else {
-                    second = second == null ? w : second;
+                } else if (other == null) {
+                    other = w;
                 }
-            } else if (home && fits && b == Belief.UNKNOWN) {
-                unknown = unknown == null ? w : unknown;
+            } else if (home && fits && b == Belief.UNKNOWN && unknown == null) {
+                unknown = w;
             } else if (!home && more == null && b != Belief.ORDERED && hasRoom(j, w)) {
                 more = w;
             }
         }
         Worker to = best != null ? best : unknown != null ? unknown : stray;
-        if (second != null && j.lookBy == null && look(j, best, second)) { return false; }
+        if (other != null && j.lookBy == null && look(j, best, other)) { return false; }
         if (best == null && beyond) { f.pressed++; }
         if (to == null && loadsOnMiss) { to = loader; } // it loads by itself while the job waits there
-        if (to == null && beyond && !awaited && more != null && planned + f.size <= MEMORY * room) { hold(f, more); }
+        boolean fitsMemory = planned + f.size <= MEMORY * room;
+        if (to == null && beyond && !awaited && more != null && fitsMemory) { hold(f, more); }
         if (best == null && unknown == null && !awaited && !beyond) { holdFirst(f); }
         if (to == null) { return false; }
         send(j, to);
         return true;
     }
 
-    /** Asks two copies how loaded they are, where answers come too seldom to tell; the job waits for a look. */
+    /** Asks two copies how loaded they are, where answers come too seldom to tell; the job waits for it. */
     private boolean look(Job j, Worker a, Worker b) {
-        if (part == 1 || !mayProbe || !told) { return false; }
+        if (part == 1 || !mayAsk || !told) { return false; }
         j.lookBy = now.plus(step);
         j.looks = 0;
         for (Worker w : List.of(a, b)) {
@@ -217,13 +218,9 @@
         return j.looks > 0;
     }
 
-    /** Where crossing zones is priced, a copy in the own zone goes first unless more loaded. */
-    private double away(Worker w) {
-        return crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0;
-    }
-
     private boolean hasRoom(Job j, Worker w) {
-        return (part == 1 || w.busy < BUSY || others(w) * w.slowness * Math.min(1, j.luck) < places(j.of)) && w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
+        return (part == 1 || w.busy < BUSY || others(w) * w.slowness * Math.min(1, j.luck) < places(j.of))
+            && w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
             && (w.rest == null || !less(now, w.rest));
     }
 
@@ -286,26 +283,25 @@
         return Math.max(least, most * Math.min(warmth(w), BRISK / spent));
     }
 
-    /** Jobs a second finished there: counts halved each second hold between one and two seconds' worth. */
-    private static double rate(Worker w) { return w.took.total() / 2; }
-
     /** Each second: k rises past the load mark, falls after some seconds under the unload mark. */
     private void eachSecond() {
         ownRate = 0;
-        seconds++;
+        seconds++; // took, halved each second, holds between one and two seconds of jobs finished
         double all = (stretch.sum() + 4) / (stretch.total() + 4);
         for (Worker w : workers) {
             w.slowness = Math.max(0.5, (w.slow.sum() + 4 * all) / (w.slow.total() + 4) / all);
             if (w.slowness > SLOW && w.slow.total() >= 4) { strike(w); }
-            if (w.slow.total() > ENOUGH || seconds % 8 == 0) { w.slow.halve(); }
-            w.bad.halve();
-            ownRate += w.standing == Standing.READY ? rate(w) / ready : 0;
+            if (w.bad.total() > ENOUGH || seconds % 8 == 0) { // or whoever meets it seldom knows nothing
+                w.slow.halve();
+                w.bad.halve();
+            }
+            ownRate += w.standing == Standing.READY ? w.took.total() / 2 / ready : 0;
             w.took.halve();
         }
         usualOthers = (crowds.sum() + 1) / (crowds.total() + 1);
         if (crowds.total() > 64) { crowds.halve(); }
         stretch.halve();
-        failing.halve();
+        if (failing.total() > 64) { failing.halve(); }
         int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
         planned = 0;
         for (Function f : functions) {
@@ -325,10 +321,12 @@
     private void pace(Function f, int cap) {
         double n = f.crowd.total();
         double crowd = n >= 0.5 ? f.crowd.sum() / (n + 1 - part) / f.target : 0;
-        boolean past = n >= (part < 1 ? 0.5 : 2) && crowd > LOAD_MARK || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
+        boolean past = n >= (part < 1 ? 0.5 : 2) && crowd > LOAD_MARK
+            || f.pressed > 0 && f.pressed * 4 >= f.came; // one in four
         if (past || crowd > UNLOAD_MARK) { f.busySince = now; }
         if (past && f.target < cap && planned + f.size <= MEMORY * room) {
-            int steps = (int) Math.max(1, Math.min(cap - f.target, (crowd / LOAD_MARK - 1) * f.target * (1 - part)));
+            double wanted = Math.min(cap, f.target * crowd / LOAD_MARK); // at size the whole way at once
+            int steps = (int) Math.max(1, (wanted - f.target) * (1 - part));
             f.target += steps;
             planned += steps * f.size;
         } else if (f.target > 1 && (!past && planned > 1.2 * MEMORY * room
@@ -344,10 +342,8 @@
             }
         }
         f.target = Math.min(f.target, Math.max(1, cap));
-        if (f.came > 0 && (loadsOnMiss ? f.target > 1 : part >= 1)) { // else a miss tells what lacks
-            holdFirst(f);
-        }
-        // A router that hears of a function once in some seconds keeps what it heard for as long as copies live.
+        if (f.came > 0 && (loadsOnMiss ? f.target > 1 : part >= 1)) { holdFirst(f); } // else a miss tells
+        // Who hears of a function once in some seconds keeps what it heard for as long as copies live.
         if (part == 1 || n > ENOUGH || f.came == 0 && !less(now.minus(f.used), keep)) { f.crowd.halve(); }
         f.came = 0;
         f.pressed = 0;
@@ -355,10 +351,8 @@
 
     private Belief belief(Function f, Worker w) {
         Copy c = f.at(w);
-        if (c.belief == Belief.STANDS && !less(now.minus(c.used), keep)) {
-            c.belief = Belief.UNKNOWN;
-        }
-        return c.belief;
+        boolean old = c.belief == Belief.STANDS && !less(now.minus(c.used), keep);
+        return c.belief = old ? Belief.UNKNOWN : c.belief;
     }
 
     // ------------------------------------------------------------------ what comes in
@@ -385,7 +379,7 @@
             over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
         }
         j.value = j.of.value * (over ? overShare : 1);
-        j.luck = chance.nextDouble() * j.of.value / j.value; // past what a worker may hold some jobs are held back
+        j.luck = chance.nextDouble() * j.of.value / j.value; // see hasRoom
         jobs.set(job, j);
         if (!rationSpan.isZero()) { arrivals.add(now); }
         // Whoever gives up sooner than we can answer only fills the workers, and more so as it tries again.
@@ -400,25 +394,21 @@
         List<Job> still = new ArrayList<>();
         for (Job j : waiting) {
             if (j.closed || !j.waiting) { continue; }
-            if (j.looks > 0 && less(now, j.lookBy)) {
-                still.add(j);
-                continue;
-            }
-            if (place(j)) {
-                j.waiting = false;
-                continue;
-            }
+            boolean looking = j.looks > 0 && less(now, j.lookBy);
+            j.waiting = looking || !place(j);
+            if (looking) { still.add(j); }
+            if (looking || !j.waiting) { continue; }
             boolean onItsWay = !stands && awaited; // as place() just met it
             boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
             Worker home = stands ? met : null; // its line: one busy worker turns away its own
             boolean crowdedOut = home != null
-                && home.ahead++ >= Math.max(2, rate(home) * seconds(j.of.target) / 2) * j.value / j.of.value;
+                && home.ahead++ >= Math.max(2, home.took.total() / 2 * seconds(j.of.target) / 2) * j.value / j.of.value;
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
-                continue;
+            } else {
+                still.add(j);
             }
-            still.add(j);
         }
         waiting.clear();
         waiting.addAll(still);
@@ -455,24 +445,17 @@
             close(j);
         } else if (!j.closed && j.outstanding == 0) {
             if (end != End.MISS) { j.failedAt.set(worker); }
-            again(j);
+            placeOrWait(j, j.executions.size() < mostExecutions // another one where allowed
+                && (j.mayHaveRun == 0 || j.of.repeat != Repeat.RUN_ONCE)
+                && less(now.plus(margin).plus(usual(j.of)), j.limit));
         }
         settle(j);
     }
 
-    /** After an execution without an answer: another one where allowed, else the final answer. */
-    private void again(Job j) {
-        boolean may = j.executions.size() < mostExecutions
-            && (j.mayHaveRun == 0 || j.of.repeat != Repeat.RUN_ONCE)
-            && less(now.plus(margin).plus(usual(j.of)), j.limit);
-        placeOrWait(j, may);
-    }
-
     private void placeOrWait(Job j, boolean may) {
         if (!may) {
             giveUp(j);
-        } else if (!place(j)) {
-            j.waiting = true;
+        } else if (j.waiting = !place(j)) {
             waiting.add(j);
         }
     }
@@ -496,10 +479,8 @@
     @Override public void left(int job) {
         Job j = jobs.get(job);
         close(j);
-        if (mayCancel) {
-            for (int i = 0; i < j.executions.size(); i++) {
-                if (!j.executions.get(i).done) { out.cancel(j.id, i); }
-            }
+        for (int i = 0; mayCancel && i < j.executions.size(); i++) {
+            if (!j.executions.get(i).done) { out.cancel(j.id, i); }
         }
         settle(j);
     }
@@ -514,18 +495,19 @@
         if (w != null) {
             w.looks.forEach(j -> j.looks--);
             w.looks.clear();
-            told = !Double.isNaN(held + queued) || !Double.isNaN(held) || !Double.isNaN(queued);
             report(null, w, busy, Double.isNaN(held) ? queued + w.flying : held, -1, false);
-            if (end != End.FINISHED) { fail(w, true); }
+            if (end == End.FINISHED) { told = !Double.isNaN(held) || !Double.isNaN(queued); }
+            if (end == End.NO_CONNECTION || end == End.BROKEN) { fail(w, true); }
         }
     }
 
+    /** Takes in what a worker tells; a full one is taken to hold twice what it may. */
     private void report(Workload of, Worker w, double busy, double held, int crowd, boolean full) {
         if (Double.isNaN(held) && crowd < 0 && !full) { return; }
         double told = Double.isNaN(held) ? Math.max(crowd, others(w)) : held - w.flying;
         w.others = Math.max(0, full ? Math.max(told, 2 * Math.max(others(w), places(of))) : told);
         w.reported = now;
-        w.busy = full || Double.isNaN(busy) ? 1 : busy;
+        w.busy = full ? 1 : Double.isNaN(busy) ? w.busy : busy;
         crowds.add(w.others);
     }
 
@@ -605,10 +587,8 @@
             }
             w.bad.add(0);
             failing.add(0);
-            if (w.onTrial) {
-                w.onTrial = false;
-                w.strikes = 0;
-            }
+            w.strikes = w.onTrial ? 0 : w.strikes;
+            w.onTrial = false;
         } else if (end == End.FULL) {
             w.rest = now.plus(soonest.dividedBy(4)); // its waiting room is full: let it drain
         } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION) {
@@ -620,19 +600,14 @@
         w.bad.add(1);
         failing.add(1);
         double share = (failing.from(1) + 1) / (failing.total() + 10); // one in ten where nothing is known
-        if (surely || w.onTrial || w.bad.from(1) >= 2 && w.bad.from(1) > 2 * share * w.bad.total()) {
-            strike(w);
-        }
+        if (surely || w.onTrial || w.bad.from(1) >= Math.max(2, 2 * share * w.bad.total())) { strike(w); }
     }
 
     /** Shuns a worker for a while, longer each time, as long as not too many are shunned already. */
     private void strike(Worker w) {
-        if (shunned(w)) { return; }
-        int n = 0;
-        for (Worker o : workers) {
-            n += o.standing == Standing.READY && shunned(o) ? 1 : 0;
-        }
-        if (n + 1 > ready * SHUN_MOST) { return; }
+        int n = 1;
+        for (Worker o : workers) { n += o.standing == Standing.READY && shunned(o) ? 1 : 0; }
+        if (shunned(w) || n > ready * SHUN_MOST) { return; }
         w.shunned = now.plus(SECOND.multipliedBy(1L << Math.min(3, w.strikes++) /* 1, 2, 4, then 8 s */));
         w.onTrial = true;
         w.slow.clear();
@@ -651,8 +626,7 @@
     }
 
     private static Duration usual(Workload of) {
-        double q = of.took.quantile(0.5);
-        return times(of.target, Double.isNaN(q) ? 0.25 : q);
+        return times(of.target, of.took.total() == 0 ? 0.25 : of.took.quantile(0.5));
     }
 
     // ------------------------------------------------------------------ guards: each rule in one place
@@ -742,21 +716,16 @@
             case FINGERPRINTED -> j.mayHaveRun + j.outstanding == 0 || j.of.group == Group.ALL;
             case RUN_ONCE -> j.mayHaveRun + j.outstanding == 0;
         };
-        if (harmless) {
-            out.pushBack(j.id, comeBack == null ? null : times(comeBack, 0.5 + chance.nextDouble() / 2));
-        } else {
-            out.kill(j.id);
-        }
+        Duration back = comeBack == null ? null : times(comeBack, 0.5 + chance.nextDouble() / 2);
+        if (harmless) { out.pushBack(j.id, back); } else { out.kill(j.id); }
         close(j);
         settle(j);
     }
 
     private void close(Job j) {
-        if (!j.closed) {
-            j.waiting = false;
-            j.closed = true;
-            j.function.open--;
-        }
+        j.function.open -= j.closed ? 0 : 1;
+        j.waiting = false;
+        j.closed = true;
     }
 
     /** A closed job is forgotten with its last execution's end. */
