--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -39,6 +39,7 @@
     private static final double FURTHER = 4;       // workers past k that are looked at, and k more
     private static final double FADE = 1;          // seconds in which half of what was told is old news
     private static final double BUSY = 0.9;        // of its cores: below it what waits does not wait for them
+    private static final double LOST = 0.04;       // of executions silent past the target: answers get lost
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
     private static final double TOO_SHORT = 1.5;   // of the expected time: a nearer limit is hopeless
     private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
@@ -68,6 +69,7 @@
     private final Window orders = new Window(), arrivals = new Window();
     private final Histogram crowds = new Histogram(JOBS);
     private final Histogram stretch = new Histogram(RATIOS), failing = new Histogram(BAD);
+    private final Histogram silent = new Histogram(BAD); // executions that never came back
     private final double[] customerCame;
     private double allCame;
     private Worker met;                  // the first worker that the last place() met,
@@ -153,7 +155,7 @@
      */
     private boolean place(Job j) {
         Function f = j.function;
-        Worker best = null, other = null, unknown = null, stray = null, more = null, loader = null;
+        Worker best = null, other = null, unknown = null, stray = null, more = null;
         boolean avoid = j.failedAt.cardinality() < ready;
         boolean guess = part < 1 && !loadsOnMiss && j.executions.size() + 1 < mostExecutions;
         boolean beyond = false;
@@ -172,7 +174,6 @@
             boolean may = maySend(j, w);
             boolean fits = may && hasRoom(j, w);
             beyond |= home && may && !fits && (b == Belief.STANDS || b == Belief.UNKNOWN);
-            loader = home && fits && loader == null ? w : loader;
             if (b == Belief.STANDS && !home && fits) {
                 stray = w;
             } else if (home && fits && (b == Belief.STANDS || b == Belief.UNKNOWN && guess)) {
@@ -186,16 +187,15 @@
                 } else if (other == null) {
                     other = w;
                 }
-            } else if (home && fits && b == Belief.UNKNOWN && unknown == null) {
+            } else if (home && fits && unknown == null && (b == Belief.UNKNOWN || loadsOnMiss)) {
                 unknown = w;
             } else if (!home && more == null && b != Belief.ORDERED && hasRoom(j, w)) {
                 more = w;
             }
         }
-        Worker to = best != null ? best : unknown != null ? unknown : stray;
+        Worker to = best != null ? best : stray != null && loadsOnMiss || unknown == null ? stray : unknown;
         if (other != null && j.lookBy == null && look(j, best, other)) { return false; }
         if (best == null && beyond) { f.pressed++; }
-        if (to == null && loadsOnMiss) { to = loader; } // it loads by itself while the job waits there
         boolean fitsMemory = planned + f.size <= MEMORY * room;
         if (to == null && beyond && !awaited && more != null && fitsMemory) { hold(f, more); }
         if (best == null && unknown == null && !awaited && !beyond) { holdFirst(f); }
@@ -302,6 +302,7 @@
         if (crowds.total() > 64) { crowds.halve(); }
         stretch.halve();
         if (failing.total() > 64) { failing.halve(); }
+        if (silent.total() > 64) { silent.halve(); }
         int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
         planned = 0;
         for (Function f : functions) {
@@ -402,8 +403,8 @@
             boolean tooLate = !less(now.plus(usual(j.of)).plus(margin), j.limit);
             boolean pastTarget = !onItsWay && !less(now.minus(j.arrived).plus(usual(j.of)), j.of.target);
             Worker home = stands ? met : null; // its line: one busy worker turns away its own
-            boolean crowdedOut = home != null
-                && home.ahead++ >= Math.max(2, home.took.total() / 2 * seconds(j.of.target) / 2) * j.value / j.of.value;
+            double line = home == null ? 0 : Math.max(2, home.took.total() / 2 * seconds(j.of.target) / 2);
+            boolean crowdedOut = home != null && home.ahead++ >= line * j.value / j.of.value;
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
             } else {
@@ -505,7 +506,7 @@
     private void report(Workload of, Worker w, double busy, double held, int crowd, boolean full) {
         if (Double.isNaN(held) && crowd < 0 && !full) { return; }
         double told = Double.isNaN(held) ? Math.max(crowd, others(w)) : held - w.flying;
-        w.others = Math.max(0, full ? Math.max(told, 2 * Math.max(others(w), places(of))) : told);
+        w.others = Math.max(0, full ? Math.max(told, 2 * places(of)) : told);
         w.reported = now;
         w.busy = full ? 1 : Double.isNaN(busy) ? w.busy : busy;
         crowds.add(w.others);
@@ -586,9 +587,12 @@
                 j.of.met.add(w.others);
             }
             w.bad.add(0);
+            silent.add(0);
             failing.add(0);
             w.strikes = w.onTrial ? 0 : w.strikes;
             w.onTrial = false;
+        } else if (end == End.TIMED_OUT && !less(took, j.of.target)) {
+            silent.add(1);
         } else if (end == End.FULL) {
             w.rest = now.plus(soonest.dividedBy(4)); // its waiting room is full: let it drain
         } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION) {
@@ -684,7 +688,10 @@
         w.loading += x.loads ? 1 : 0; // waits for the load, takes no core
         j.function.at(w).used = now;
         if (cold(w)) { w.coldSends.add(now); }
-        out.send(j.id, w.id, j.limit.minus(now).minus(margin));
+        Duration all = j.limit.minus(now).minus(margin), brief = j.of.target.dividedBy(2);
+        boolean again = j.of.repeat == Repeat.RESTARTABLE && j.executions.size() < mostExecutions
+            && silent.from(1) > LOST * (silent.total() + ENOUGH) && less(now.plus(brief).plus(usual(j.of)), j.arrived.plus(j.of.target));
+        out.send(j.id, w.id, again ? least(all, brief) : all);
     }
 
     /** Rules 3 and 5, and the shared store's pace: whether an order goes out, and the order itself. */
