--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -39,7 +39,6 @@
     private static final double FURTHER = 4;       // workers past k that are looked at, and k more
     private static final double FADE = 1;          // seconds in which half of what was told is old news
     private static final double BUSY = 0.9;        // of its cores: below it what waits does not wait for them
-    private static final double LOST = 0.04;       // of executions silent past the target: answers get lost
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
     private static final double TOO_SHORT = 1.5;   // of the expected time: a nearer limit is hopeless
     private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
@@ -69,7 +68,6 @@
     private final Window orders = new Window(), arrivals = new Window();
     private final Histogram crowds = new Histogram(JOBS);
     private final Histogram stretch = new Histogram(RATIOS), failing = new Histogram(BAD);
-    private final Histogram silent = new Histogram(BAD); // executions that never came back
     private final double[] customerCame;
     private double allCame;
     private Worker met;                  // the first worker that the last place() met,
@@ -302,7 +300,6 @@
         if (crowds.total() > 64) { crowds.halve(); }
         stretch.halve();
         if (failing.total() > 64) { failing.halve(); }
-        if (silent.total() > 64) { silent.halve(); }
         int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
         planned = 0;
         for (Function f : functions) {
@@ -587,12 +584,9 @@
                 j.of.met.add(w.others);
             }
             w.bad.add(0);
-            silent.add(0);
             failing.add(0);
             w.strikes = w.onTrial ? 0 : w.strikes;
             w.onTrial = false;
-        } else if (end == End.TIMED_OUT && !less(took, j.of.target)) {
-            silent.add(1);
         } else if (end == End.FULL) {
             w.rest = now.plus(soonest.dividedBy(4)); // its waiting room is full: let it drain
         } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION) {
@@ -688,10 +682,7 @@
         w.loading += x.loads ? 1 : 0; // waits for the load, takes no core
         j.function.at(w).used = now;
         if (cold(w)) { w.coldSends.add(now); }
-        Duration all = j.limit.minus(now).minus(margin), brief = j.of.target.dividedBy(2);
-        boolean again = j.of.repeat == Repeat.RESTARTABLE && j.executions.size() < mostExecutions
-            && silent.from(1) > LOST * (silent.total() + ENOUGH) && less(now.plus(brief).plus(usual(j.of)), j.arrived.plus(j.of.target));
-        out.send(j.id, w.id, again ? least(all, brief) : all);
+        out.send(j.id, w.id, j.limit.minus(now).minus(margin));
     }
 
     /** Rules 3 and 5, and the shared store's pace: whether an order goes out, and the order itself. */
