The usual crowd is the mean of what was told, not of what was kept

Where only crowds are told, what was kept was never below the usual, so the usual only grew and workers looked alike.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -506,7 +506,7 @@
         w.others = Math.max(0, full ? Math.max(told, 2 * places(of)) : told);
         w.reported = now;
         w.busy = full ? 1 : Double.isNaN(busy) ? w.busy : busy;
-        crowds.add(w.others);
+        crowds.add(Double.isNaN(held) ? Math.max(0, crowd) : w.others); // as told, or the usual only grows
     }
 
     // ------------------------------------------------------------------ the list of workers
