--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -155,7 +155,7 @@
         Function f = j.function;
         Worker best = null, other = null, unknown = null, stray = null, more = null;
         boolean avoid = j.failedAt.cardinality() < ready;
-        boolean guess = part < 1 && !loadsOnMiss && j.executions.size() + 1 < mostExecutions;
+        boolean guess = part < 1 && (loadsOnMiss || j.executions.size() + 1 < mostExecutions);
         boolean beyond = false;
         double least = Double.MAX_VALUE;
         int i = 0;
@@ -175,7 +175,7 @@
             if (b == Belief.STANDS && !home && fits) {
                 stray = w;
             } else if (home && fits && (b == Belief.STANDS || b == Belief.UNKNOWN && guess)) {
-                double load = load(w) + (b == Belief.UNKNOWN ? STEP_ASIDE : 0)
+                double load = load(w) + (b != Belief.UNKNOWN ? 0 : loadsOnMiss ? 3 * STEP_ASIDE : STEP_ASIDE)
                     + (crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0) // own zone unless more loaded
                     + chance.nextDouble() * STEP_ASIDE * (1 - part);
                 if (load < least - (best == null ? 0 : STEP_ASIDE * part)) {
