At size one copy a second is asked for before it is ordered; questions take no ration

Covers copies that others moved; harms where nobody else uses a function: a second more until its copy is ordered. Tests for k at size, failed probes and questions.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -3,11 +3,7 @@
 import static switchgap.state.Spans.*;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.List;
-import java.util.SplittableRandom;
+import java.util.*;
 import switchgap.port.*;
 import switchgap.state.*;
 import switchgap.state.Copy.Belief;
@@ -29,8 +25,7 @@
     private static final double BRISK = 0.15;      // of a start target: past it the bound shrinks
     private static final double LOAD_MARK = 0.25; // mean crowd a lane at arrival: k rises above it
     private static final double MOST_LANES = 2;    // lanes that count: more than cores only share the cores
-    private static final double UNLOAD_MARK = 0.15; // ... and falls after FALL_AFTER below it
-    private static final double FALL_AFTER = 1;    // of the keep-alive
+    private static final double UNLOAD_MARK = 0.15; // ... and falls a keep-alive below it
     private static final double ENOUGH = 4;        // answers that tell of a function's crowd; more are halved
     private static final double MOST_COPIES = 0.5; // of the ready workers
     private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far, falls past 1.2
@@ -60,7 +55,6 @@
     private final Duration askEvery;    // null: the list comes by itself
     private final SplittableRandom chance;
 
-    // --- What is remembered.
     private final Slots<Worker> workers = new Slots<>();
     private final Slots<Function> functions = new Slots<>();
     private final Slots<Job> jobs = new Slots<>();
@@ -93,12 +87,8 @@
         part = Math.min(1, ROOM / routers);
         margin = t.tick().multipliedBy(2);
         workloads = new Workload[t.workloads()];
-        Duration first = t.startTarget(0);
-        for (int i = 0; i < workloads.length; i++) {
-            workloads[i] = new Workload(t, i, SPANS, JOBS);
-            first = least(first, workloads[i].target);
-        }
-        soonest = first;
+        Arrays.setAll(workloads, i -> new Workload(t, i, SPANS, JOBS));
+        soonest = Arrays.stream(workloads).map(x -> x.target).min(Comparator.naturalOrder()).orElseThrow();
         step = most(t.tick(), soonest.dividedBy(20));
         fairShare = new double[t.customers()];
         customerCame = new double[t.customers()];
@@ -155,7 +145,7 @@
         Function f = j.function;
         Worker best = null, other = null, unknown = null, stray = null, more = null;
         boolean avoid = j.failedAt.cardinality() < ready;
-        boolean guess = part < 1 && (loadsOnMiss || j.executions.size() + 1 < mostExecutions);
+        boolean guess = part < 1 && !loadsOnMiss && j.executions.size() + 1 < mostExecutions;
         boolean beyond = false;
         double least = Double.MAX_VALUE;
         int i = 0;
@@ -175,7 +165,7 @@
             if (b == Belief.STANDS && !home && fits) {
                 stray = w;
             } else if (home && fits && (b == Belief.STANDS || b == Belief.UNKNOWN && guess)) {
-                double load = load(w) + (b != Belief.UNKNOWN ? 0 : loadsOnMiss ? 3 * STEP_ASIDE : STEP_ASIDE)
+                double load = load(w) + (b == Belief.UNKNOWN ? STEP_ASIDE : 0)
                     + (crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0) // own zone unless more loaded
                     + chance.nextDouble() * STEP_ASIDE * (1 - part);
                 if (load < least - (best == null ? 0 : STEP_ASIDE * part)) {
@@ -222,12 +212,21 @@
             && (w.rest == null || !less(now, w.rest));
     }
 
-    /** Orders the first of the k copies that does not stand. */
+    /** Orders the first of the k copies that does not stand; at size it is asked for first. */
     private void holdFirst(Function f) {
         int i = 0;
         for (Worker w : order(f)) {
             if (shunned(w)) { continue; }
-            if (i++ >= f.target || belief(f, w) != Belief.STANDS && hold(f, w)) { return; }
+            if (i++ >= f.target) { return; }
+            Copy c = f.at(w);
+            if (belief(f, w) == Belief.UNKNOWN && part < 1 && mayOrder && !c.asked) { // no ration
+                c.asked = true;
+                w.orders++;
+                f.orders++;
+                out.hold(w.id, f.id, 0);
+                return;
+            }
+            if (!c.asked && c.belief != Belief.STANDS && hold(f, w)) { return; }
         }
     }
 
@@ -328,7 +327,7 @@
             f.target += steps;
             planned += steps * f.size;
         } else if (f.target > 1 && (!past && planned > 1.2 * MEMORY * room
-            || !less(now.minus(f.busySince), times(keep, FALL_AFTER)))) { // at once: memory is overplanned
+            || !less(now.minus(f.busySince), keep))) { // at once: memory is overplanned
             f.target--;
             planned -= f.size;
             Worker last = f.target < order(f).length ? order(f)[f.target] : null;
@@ -465,10 +464,13 @@
         w.orders--;
         Copy c = f.at(w);
         f.orders--;
-        if (c.belief != Belief.ORDERED) { return; }
+        boolean heard = c.asked; // a question's answer: it went out before any order
+        c.asked = false;
+        c.used = now;
+        if (heard && c.belief == Belief.UNKNOWN) { c.belief = standing > 0 ? Belief.STANDS : Belief.ABSENT; }
+        if (heard || c.belief != Belief.ORDERED) { return; }
         ordersOut--;
         c.belief = standing > 0 ? Belief.STANDS : Belief.ABSENT;
-        c.used = now;
         boolean well = end == End.FINISHED && less(took, keep.dividedBy(3));
         ordersMost = well ? ordersMost + 1 / ordersMost : Math.max(1, ordersMost / 2);
         if (end == End.NO_CONNECTION || end == End.BROKEN) { fail(w, true); }
--- a/src/main/java/switchgap/state/Copy.java
+++ b/src/main/java/switchgap/state/Copy.java
@@ -10,4 +10,5 @@
     public Belief belief = Belief.UNKNOWN;
     public Duration used;
     public Duration ordered;
+    public boolean asked;
 }
--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -250,4 +250,44 @@
         b.until(200);
         assertThat(b.count("send")).isGreaterThan(1);
     }
+
+    /** Of 200 routers each hears of a function seldom: k stuck at one, and the first copy took all first jobs. */
+    @Test void atSizeOneAnswerRaisesTheTargetAndChanceSpreadsTheJobs() {
+        Bench.Said said = new Bench.Said();
+        said.routers = 200;
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(90, f -> b.end(f, 0, 0, home, End.FINISHED, 80, 8));
+        for (int i = 1; i < 9; i++) {
+            int job = i;
+            b.at(3000 + 500 * i, f -> b.job(f, job, 0));
+        }
+        assertThat(b.trace().lines().filter(l -> l.contains("send")).map(DecideTest::worker).distinct().count())
+            .isGreaterThan(1);
+    }
+
+    /** A failed question had ended all questions at that router, and shunned a worker that was only busy. */
+    @Test void aProbeThatTimesOutDoesNotShun() {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(90, f -> b.end(f, 0, 0, home, End.FINISHED, 80, 0));
+        b.at(100, f -> f.probed(home, End.TIMED_OUT, ms(250), Double.NaN, Double.NaN, Double.NaN));
+        b.at(110, f -> b.job(f, 1, 0));
+        assertThat(b.trace()).contains("110 send job 1 to worker " + home);
+    }
+
+    /** What waits for a load is not waiting for cores; a copy that others loaded needs no order of ours. */
+    @Test void atSizeACopyIsAskedForBeforeItIsOrdered() {
+        Bench.Said said = new Bench.Said();
+        said.routers = 200;
+        said.loads = true;
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.at(90, f -> b.end(f, 0, 0, home, End.FINISHED, 80, 8)).until(1900).at(1950, f -> b.job(f, 1, 0)).until(2100);
+        assertThat(b.count("ask function 0")).isEqualTo(1);
+        assertThat(b.count("hold function 0")).isZero();
+    }
 }
