--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -49,7 +49,7 @@
     private final double[] fairShare, kindMemory;
     private final boolean second, crossingPriced, sizesTold, loadsOnMiss, drops, mayCancel, mayOrder, mayAsk;
     private final Duration comeBack;    // null: no advice
-    private final Duration keep, idle, rationSpan, coldSpan, fallSpan;
+    private final Duration keep, rationSpan, coldSpan, fallSpan;
     private final double rationFree, rationShare, overShare, coldShare;
     private final double coldBudget;    // of full capacity times span, for this router, at full warmth
     private final Duration askEvery;    // null: the list comes by itself
@@ -102,7 +102,6 @@
         mayOrder = t.mayOrder();
         mayAsk = t.mayProbe();
         keep = t.keepAlive();
-        idle = t.connectionIdle();
         kindMemory = t.kindMemory();
         sizesTold = t.sizesTold();
         drops = t.memoryPrice() > 0 && mayOrder;
@@ -168,7 +167,7 @@
             } else if (home && fits && (b == Belief.STANDS || b == Belief.UNKNOWN && guess)) {
                 double load = load(w) + (b == Belief.UNKNOWN ? STEP_ASIDE : 0)
                     + (crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0) // own zone unless more loaded
-                    + chance.nextDouble() * STEP_ASIDE * (1 - part);
+                    + (mix(w.mark ^ mix(f.mark + self)) >>> 11) * 0x1p-53 * STEP_ASIDE * (1 - part);
                 if (load < least - (best == null ? 0 : STEP_ASIDE * part)) {
                     other = best;
                     best = w;
@@ -259,9 +258,7 @@
 
     /** What a further job would meet: own jobs and what others held, by slowness. */
     private double load(Worker w) {
-        boolean open = w.reported != null && less(now.minus(w.reported), idle);
-        double unopened = open ? 0 : ROOM * failing.from(1) / (failing.total() + 10); // worth more when much fails
-        return (w.flying - w.loading + 1 + others(w)) * w.slowness / warmth(w) + unopened;
+        return (w.flying - w.loading + 1 + others(w)) * w.slowness / warmth(w);
     }
 
     /** Others' jobs at a worker: what its last answer told, which fades to the usual within seconds. */
@@ -389,8 +386,7 @@
     /** Places what waits, the most valuable first; gives up at once what can no longer be worth its place. */
     private void placeWaiting() {
         if (waiting.isEmpty()) { return; }
-        waiting.sort(Comparator.comparingDouble((Job j) -> less(now.minus(j.arrived), j.of.target)
-            ? -j.value : -j.value * j.of.late).thenComparing(j -> j.arrived));
+        waiting.sort(Comparator.comparingDouble((Job j) -> -worthNow(j)).thenComparing(j -> j.arrived));
         workers.forEach(w -> w.ahead = 0);
         List<Job> still = new ArrayList<>();
         for (Job j : waiting) {
@@ -415,6 +411,10 @@
         waiting.addAll(still);
     }
 
+    private double worthNow(Job j) {
+        return less(now.minus(j.arrived), j.of.target) ? j.value : j.value * j.of.late;
+    }
+
     @Override public void ended(int job, int execution, int worker, End end, Duration took, boolean closed,
                                 int crowd, double busy, double held, double queued) {
         Job j = jobs.get(job);
--- a/src/main/java/switchgap/port/Terms.java
+++ b/src/main/java/switchgap/port/Terms.java
@@ -62,9 +62,6 @@
 
     Duration keepAlive();
 
-    /** How long an unused connection stays open. */
-    Duration connectionIdle();
-
     double loadsFree();
 
     double loadsShare();
--- a/src/main/java/switchgap/simhost/StatedTerms.java
+++ b/src/main/java/switchgap/simhost/StatedTerms.java
@@ -147,8 +147,6 @@
 
     @Override public Duration keepAlive() { return span("Extra.IdleLifeUs"); }
 
-    @Override public Duration connectionIdle() { return span("Limits.ConnIdleUs"); }
-
     @Override public double loadsFree() { return real("Extra.LoadFree"); }
 
     @Override public double loadsShare() { return real("Extra.LoadRatio"); }
--- a/src/test/java/switchgap/Bench.java
+++ b/src/test/java/switchgap/Bench.java
@@ -83,8 +83,6 @@
 
         @Override public boolean mayOrder() { return true; }
 
-        @Override public Duration connectionIdle() { return ms(30_000); }
-
         @Override public Duration keepAlive() { return ms(10_000); }
 
         @Override public double loadsFree() { return free; }
