--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -167,7 +167,7 @@
             } else if (home && fits && (b == Belief.STANDS || b == Belief.UNKNOWN && guess)) {
                 double load = load(w) + (b == Belief.UNKNOWN ? STEP_ASIDE : 0)
                     + (crossingPriced && w.zone != zone ? 1.5 * STEP_ASIDE : 0) // own zone unless more loaded
-                    + (mix(w.mark ^ mix(f.mark + self)) >>> 11) * 0x1p-53 * STEP_ASIDE * (1 - part);
+                    + chance.nextDouble() * STEP_ASIDE * (1 - part);
                 if (load < least - (best == null ? 0 : STEP_ASIDE * part)) {
                     other = best;
                     best = w;
