Turns at a cold worker are shared by as many routers as its budget bears

Cause: one router of 178 had its turn at a successor in each span, so each got four jobs in its whole cold time. Custom kept: turns by own number.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -669,7 +669,10 @@
         // or an equal share of one job after the other; two thirds of it, since the two kinds can add up.
         double part = coldBudget * warmth(w) * seconds(fallSpan) * Math.max(rate, ownRate * routers) * 2 / 3;
         if (part >= 1) { return sent < Math.floor(part); }
-        return sent == 0 && now.minus(w.started).dividedBy(fallSpan) % routers == self;
+        // One router at a time starved the successors of a release where 200 of them share a worker: each turn goes
+        // to so many that, if each sends what it sends a warm worker, half of that budget is used; one job a turn.
+        long turns = (long) Math.min(routers, Math.ceil(3 / (coldBudget * routers * warmth(w))));
+        return sent == 0 && (now.minus(w.started).dividedBy(fallSpan) + self) % turns == 0;
     }
 
     private void send(Job j, Worker w) {
