--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -663,14 +663,11 @@
     private boolean warmEnough(Worker w) {
         if (!cold(w)) { return true; }
         int sent = w.coldSends.within(now, fallSpan);
-        // Jobs a second that a warm worker surely bears: one after the other.
         double rate = Arrays.stream(workloads).mapToDouble(x -> 1 / seconds(usual(x))).min().orElse(0);
-        // All that the routers send a warm worker it does bear: this router's own part of that, as measured,
-        // or an equal share of one job after the other; two thirds of it, since the two kinds can add up.
+        // A warm worker bears one job after the other, and what it gets; two thirds, as the two can add up.
         double part = coldBudget * warmth(w) * seconds(fallSpan) * Math.max(rate, ownRate * routers) * 2 / 3;
         if (part >= 1) { return sent < Math.floor(part); }
-        // One router at a time starved the successors of a release where 200 of them share a worker: each turn goes
-        // to so many that, if each sends what it sends a warm worker, half of that budget is used; one job a turn.
+        // One router a turn starved successors at size: so many that half of it is used at a warm one's rate.
         long turns = (long) Math.min(routers, Math.ceil(3 / (coldBudget * routers * warmth(w))));
         return sent == 0 && (now.minus(w.started).dividedBy(fallSpan) + self) % turns == 0;
     }
--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -290,4 +290,26 @@
         assertThat(b.count("ask function 0")).isEqualTo(1);
         assertThat(b.count("hold function 0")).isZero();
     }
+
+    /** One router of 200 at a time starved the successors of a release: turns are shared, one job a turn each. */
+    @Test void atSizeTurnsAtAColdWorkerAreShared() {
+        int sent = 0;
+        for (int me = 0; me < 200; me++) {
+            Bench.Said said = new Bench.Said();
+            said.loads = true;
+            said.routers = 200;
+            said.me = me;
+            Bench b = new Bench(said);
+            b.at(1000, f -> {
+                f.listBegins(true);
+                f.worker(0, 1000, Standing.READY, 0, 0, 0, 1, ms(1000));
+                f.listEnds();
+                b.job(f, 0, 0);
+                b.job(f, 1, 0);
+            });
+            assertThat(b.count("send")).isLessThanOrEqualTo(1);
+            sent += b.count("send");
+        }
+        assertThat(sent).isBetween(2, 40);
+    }
 }
