--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -442,7 +442,7 @@
             close(j);
         } else if (!j.closed && j.outstanding == 0) {
             if (end != End.MISS) { j.failedAt.set(worker); }
-            placeOrWait(j, j.executions.size() < (end == End.FULL && part < 1 ? 2 : mostExecutions)
+            placeOrWait(j, j.executions.size() < mostExecutions // another one where allowed
                 && (j.mayHaveRun == 0 || j.of.repeat != Repeat.RUN_ONCE)
                 && less(now.plus(margin).plus(usual(j.of)), j.limit));
         }
