--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -196,7 +196,6 @@
     private boolean look(Job j, Worker a, Worker b) {
         if (part == 1 || !mayAsk || !told) { return false; }
         j.lookBy = now.plus(step);
-        j.looks = 0;
         for (Worker w : List.of(a, b)) {
             if (w.reported != null && less(now.minus(w.reported), soonest.dividedBy(4))) { continue; }
             if (w.looks.isEmpty()) { out.probe(w.id); }
@@ -387,8 +386,8 @@
     private void placeWaiting() {
         if (waiting.isEmpty()) { return; }
         waiting.sort(Comparator.comparingDouble((Job j) -> -worthNow(j)).thenComparing(j -> j.arrived));
-        workers.forEach(w -> w.ahead = 0);
         List<Job> still = new ArrayList<>();
+        List<Worker> lines = new ArrayList<>();
         for (Job j : waiting) {
             if (j.closed || !j.waiting) { continue; }
             boolean looking = j.looks > 0 && less(now, j.lookBy);
@@ -401,12 +400,14 @@
             Worker home = stands ? met : null; // its line: one busy worker turns away its own
             double line = home == null ? 0 : Math.max(2, home.took.total() / 2 * seconds(j.of.target) / 2);
             boolean crowdedOut = home != null && home.ahead++ >= line * j.value / j.of.value;
+            if (home != null) { lines.add(home); }
             if (tooLate || pastTarget || crowdedOut || j.executions.size() >= mostExecutions) {
                 giveUp(j);
             } else {
                 still.add(j);
             }
         }
+        lines.forEach(w -> w.ahead = 0);
         waiting.clear();
         waiting.addAll(still);
     }
@@ -492,13 +493,12 @@
     @Override public void probed(int worker, End end, Duration took, double busy, double held,
                                  double queued) {
         Worker w = workers.get(worker);
-        if (w != null) {
-            w.looks.forEach(j -> j.looks--);
-            w.looks.clear();
-            report(null, w, busy, Double.isNaN(held) ? queued + w.flying : held, -1, false);
-            if (end == End.FINISHED) { told = !Double.isNaN(held) || !Double.isNaN(queued); }
-            if (end == End.NO_CONNECTION || end == End.BROKEN) { fail(w, true); }
-        }
+        if (w == null) { return; }
+        w.looks.forEach(j -> j.looks--);
+        w.looks.clear();
+        report(null, w, busy, Double.isNaN(held) ? queued + w.flying : held, -1, false);
+        if (end == End.FINISHED) { told = !Double.isNaN(held) || !Double.isNaN(queued); }
+        if (end == End.NO_CONNECTION || end == End.BROKEN) { fail(w, true); }
     }
 
     /** Takes in what a worker tells; a full one is taken to hold twice what it may. */
--- a/src/main/java/switchgap/state/Slots.java
+++ b/src/main/java/switchgap/state/Slots.java
@@ -21,12 +21,26 @@
     }
 
     @Override public Iterator<T> iterator() {
-        List<T> all = new ArrayList<>();
-        for (T each : slots) {
-            if (each != null) {
-                all.add(each);
+        return new Iterator<>() {
+            private int next = full(0);
+
+            private int full(int from) {
+                int i = from;
+                while (i < slots.size() && slots.get(i) == null) {
+                    i++;
+                }
+                return i;
             }
-        }
-        return all.iterator();
+
+            @Override public boolean hasNext() {
+                return next < slots.size();
+            }
+
+            @Override public T next() {
+                T each = slots.get(next);
+                next = full(next + 1);
+                return each;
+            }
+        };
     }
 }
