--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -40,7 +40,6 @@
 
     private static final Duration SECOND = Duration.ofSeconds(1); // the design's pace of k
 
-    // --- Figures derived from the terms.
     private final int self, zone, routers, mostExecutions;
     private final double part;          // of a place at each worker, this router's own
     private final Duration margin;      // before a time limit: two ticks, so that an answer is never late
@@ -50,7 +49,7 @@
     private final boolean second, crossingPriced, sizesTold, loadsOnMiss, drops, mayCancel, mayOrder, mayAsk;
     private final Duration comeBack;    // null: no advice
     private final Duration keep, rationSpan, coldSpan, fallSpan;
-    private final double rationFree, rationShare, overShare, coldShare;
+    private final double rationFree, rationShare, overShare, coldShare, mostValue;
     private final double coldBudget;    // of full capacity times span, for this router, at full warmth
     private final Duration askEvery;    // null: the list comes by itself
     private final SplittableRandom chance;
@@ -88,6 +87,7 @@
         margin = t.tick().multipliedBy(2);
         workloads = new Workload[t.workloads()];
         Arrays.setAll(workloads, i -> new Workload(t, i, SPANS, JOBS));
+        mostValue = Arrays.stream(workloads).mapToDouble(x -> x.value).max().orElse(1);
         soonest = Arrays.stream(workloads).map(x -> x.target).min(Comparator.naturalOrder()).orElseThrow();
         step = most(t.tick(), soonest.dividedBy(20));
         fairShare = new double[t.customers()];
@@ -375,7 +375,7 @@
             over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
         }
         j.value = j.of.value * (over ? overShare : 1);
-        j.luck = chance.nextDouble() * j.of.value / j.value; // see hasRoom
+        j.luck = chance.nextDouble() * mostValue / j.value; // past the bound of all routers: see hasRoom
         jobs.set(job, j);
         if (!rationSpan.isZero()) { arrivals.add(now); }
         // Whoever gives up sooner than we can answer only fills the workers, and more so as it tries again.
