Customers' shares are summed once at start, not at each job; no decision differs

Found on a reread: the sum had moved from the start into each job's path. Also two lines of comment set right and one exit of place() in place of two.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -26,7 +26,7 @@
     private static final double LOAD_MARK = 0.25; // mean crowd a lane at arrival: k rises above it
     private static final double MOST_LANES = 2;    // lanes that count: more than cores only share the cores
     private static final double UNLOAD_MARK = 0.15; // ... and falls a keep-alive below it
-    private static final double ENOUGH = 4;        // answers that tell of a function's crowd; more are halved
+    private static final double ENOUGH = 4;        // answers that tell of a crowd or of health; more are halved
     private static final double MOST_COPIES = 0.5; // of the ready workers
     private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far, falls past 1.2
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
@@ -63,8 +63,8 @@
     private final Histogram stretch = new Histogram(RATIOS), failing = new Histogram(BAD);
     private final double[] customerCame;
     private double allCame;
-    private Worker met;                  // the first worker that the last place() met,
     private boolean told = true;         // whether probes tell a load
+    private Worker met;                  // the first worker that the last place() met,
     private boolean stands, awaited;     // ... whether a copy stood and whether one was on its way
     private double usualOthers = 1;
     private boolean wholeList;
@@ -93,6 +93,8 @@
         fairShare = new double[t.customers()];
         customerCame = new double[t.customers()];
         Arrays.setAll(fairShare, t::customerRate);
+        double all = Math.max(Arrays.stream(fairShare).sum(), Double.MIN_NORMAL);
+        Arrays.setAll(fairShare, c -> fairShare[c] / all);
         overShare = t.overShareWorth();
         mostExecutions = t.mostExecutions();
         second = t.secondExecutions();
@@ -187,9 +189,8 @@
         boolean fitsMemory = planned + f.size <= MEMORY * room;
         if (to == null && beyond && !awaited && more != null && fitsMemory) { hold(f, more); }
         if (best == null && unknown == null && !awaited && !beyond) { holdFirst(f); }
-        if (to == null) { return false; }
-        send(j, to);
-        return true;
+        if (to != null) { send(j, to); }
+        return to != null;
     }
 
     /** Asks two copies how loaded they are, where answers come too seldom to tell; the job waits for it. */
@@ -371,8 +372,7 @@
         if (customer < customerCame.length) {
             customerCame[customer]++;
             allCame++;
-            double all = Math.max(Arrays.stream(fairShare).sum(), Double.MIN_NORMAL);
-            over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] / all * allCame;
+            over = allCame > 20 && customerCame[customer] > 1.25 * fairShare[customer] * allCame;
         }
         j.value = j.of.value * (over ? overShare : 1);
         j.luck = chance.nextDouble() * mostValue / j.value; // past the bound of all routers: see hasRoom
