--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -26,7 +26,7 @@
     private static final double LOAD_MARK = 0.25; // mean crowd a lane at arrival: k rises above it
     private static final double MOST_LANES = 2;    // lanes that count: more than cores only share the cores
     private static final double UNLOAD_MARK = 0.15; // ... and falls a keep-alive below it
-    private static final double ENOUGH = 4;        // answers that tell of a crowd or of health; more are halved
+    private static final double ENOUGH = 4;        // answers that tell of a crowd or of health; more: halved
     private static final double MOST_COPIES = 0.5; // of the ready workers
     private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far, falls past 1.2
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
