--- /dev/null
+++ b/src/main/java/switchgap/cli/Commands.java
@@ -0,0 +1,135 @@
+package switchgap.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.slf4j.bridge.SLF4JBridgeHandler;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import switchgap.day.DayCheck;
+import switchgap.day.DayRun;
+import switchgap.day.Demo;
+import switchgap.gateway.Gateway;
+import switchgap.gateway.GatewayPage;
+import switchgap.terms.BadPage;
+
+/** The commands. Exit codes: 0 done, 1 failed or a rule broken, 2 unusable input or words. */
+@Command(name = "switchgap", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+    description = "A gateway for functions that workers load on demand.",
+    subcommands = {Commands.Router.class, CallCommand.class, Commands.DayCommand.class, Commands.DemoCommand.class,
+        Commands.Simhost.class})
+public final class Commands {
+    private Commands() { }
+
+    static int run(String[] args) {
+        SLF4JBridgeHandler.removeHandlersForRootLogger();
+        SLF4JBridgeHandler.install();
+        CommandLine line = new CommandLine(new Commands());
+        line.setExecutionExceptionHandler((e, cmd, parsed) -> {
+            cmd.getErr().println("switchgap: " + (e instanceof BadPage || e instanceof java.io.IOException
+                ? e instanceof java.nio.file.NoSuchFileException ? "no such file: " + e.getMessage() : e.getMessage() : e));
+            if (!(e instanceof BadPage || e instanceof java.io.IOException)) { e.printStackTrace(cmd.getErr()); }
+            return e instanceof BadPage ? 2 : 1;
+        });
+        int code = line.execute(args);
+        if (args.length == 0) { line.usage(System.out); }
+        return code;
+    }
+
+    /** The jar's version. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override public String[] getVersion() {
+            String v = Commands.class.getPackage().getImplementationVersion();
+            return new String[] {"switchgap " + (v == null ? "(not packaged)" : v)};
+        }
+    }
+
+    @Command(name = "router", description = "Runs a router by its page until SIGTERM.", mixinStandardHelpOptions = true)
+    static final class Router implements Callable<Integer> {
+        @Parameters(paramLabel = "PAGE", description = "YAML: terms, functions, where to listen, whom to ask for the list")
+        Path page;
+
+        @Option(names = "--check", description = "read the page, say what is wrong, start nothing")
+        boolean check;
+
+        @Override public Integer call() throws Exception {
+            GatewayPage p = GatewayPage.read(page);
+            if (check) {
+                System.out.println(page + ": good");
+                return 0;
+            }
+            Gateway g = new Gateway(p);
+            CountDownLatch ended = new CountDownLatch(1);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                g.stop();
+                ended.countDown();
+                Runtime.getRuntime().halt(0); // in good order: what was held has its answer
+            }));
+            ended.await();
+            return 0;
+        }
+    }
+
+    @Command(name = "day", description = "Plays scripted days over loopback sockets and checks their rules.",
+        mixinStandardHelpOptions = true, subcommands = {Run.class, Check.class})
+    static final class DayCommand implements Callable<Integer> {
+        @Override public Integer call() {
+            CommandLine.usage(this, System.out);
+            return 2;
+        }
+    }
+
+    @Command(name = "run", description = "Plays a day and leaves its logs.", mixinStandardHelpOptions = true)
+    static final class Run implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE")
+        Path file;
+
+        @Option(names = "--record", paramLabel = "DIR", required = true, description = "where the logs go")
+        Path dir;
+
+        @Override public Integer call() throws Exception {
+            DayRun.play(file, dir, System.out);
+            return 0;
+        }
+    }
+
+    @Command(name = "check", description = "Judges the five rules from a played day's logs: 0 kept, 1 broken, 2 unusable.",
+        mixinStandardHelpOptions = true)
+    static final class Check implements Callable<Integer> {
+        @Parameters(paramLabel = "DIR")
+        Path dir;
+
+        @Override public Integer call() {
+            try {
+                DayCheck c = DayCheck.read(dir);
+                c.print(System.out);
+                return c.violations().isEmpty() ? 0 : 1;
+            } catch (java.io.IOException | BadPage e) {
+                System.err.println("switchgap: unusable: " + e.getMessage());
+                return 2;
+            }
+        }
+    }
+
+    @Command(name = "demo", description = "A router with stand-ins in one process, a short load, and what came of it.",
+        mixinStandardHelpOptions = true)
+    static final class DemoCommand implements Callable<Integer> {
+        @Option(names = "--keep", description = "leave it up until interrupted")
+        boolean keep;
+
+        @Option(names = "--seconds", defaultValue = "8", description = "of load (default: ${DEFAULT-VALUE})")
+        int seconds;
+
+        @Override public Integer call() throws Exception {
+            return Demo.run(seconds, keep, System.out);
+        }
+    }
+
+    @Command(name = "simhost", description = "Hosts router instances on the simulator's wire, on standard input and output.",
+        mixinStandardHelpOptions = true)
+    static final class Simhost implements Callable<Integer> {
+        @Override public Integer call() { return Main.simhost(); }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package switchgap.cli;
--- /dev/null
+++ b/src/main/java/switchgap/day/Day.java
@@ -0,0 +1,267 @@
+package switchgap.day;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.constructor.SafeConstructor;
+import switchgap.standin.Catalogue;
+import switchgap.standin.Clients;
+import switchgap.standin.Machine;
+import switchgap.terms.BadPage;
+import switchgap.terms.Page;
+
+/** A day as its page states it: fleet, terms, load, script, seed. */
+public final class Day {
+    /** A kind of worker: its share of the fleet and what it is. */
+    record Kind(String name, double share, int cores, double speed, double memory) { }
+
+    /** One line of the script; {@code at} and {@code lasts} in microseconds of the day. */
+    record Trouble(long at, Verb verb, long lasts, double part, double size, String of) { }
+
+    final String file;
+    final String name;
+    final long length;
+    final long seed;
+    final long slack;
+    final String tick;
+    final List<String> zones;
+    final int workers, cellSize, slotsPerCore, queuePerCore, loadsAtOnce;
+    final long keep;
+    final double fetchShare, loadFails;
+    final boolean eager, tellsLoad, onMissLoads;
+    final List<Kind> kinds = new ArrayList<>();
+    final double storeTakes;
+    final long storeDown, listLag;
+    final int routers, executions;
+    final double busiest;
+    final boolean ownProcesses;
+    final double rate, zipf;
+    final int functions;
+    final Clients.Manner manner;
+    final List<Catalogue.Like> likes = new ArrayList<>();
+    final List<Clients.Wish> wishes = new ArrayList<>();
+    final List<String> repeats = new ArrayList<>();
+    final Map<String, Double> customers = new LinkedHashMap<>();
+    final double coldShare, fallMultiple, loadsFree, loadsShare;
+    final long coldSpan, fallSpan, loadsSpan, grace;
+    final List<Trouble> script = new ArrayList<>();
+    private final Map<String, Object> raw;
+
+    private Day(Path path, Page p, Map<String, Object> raw) {
+        this.raw = raw;
+        file = path.toString();
+        Page d = p.part("day");
+        name = d.text("name", path.getFileName().toString().replaceAll("\\.ya?ml$", ""));
+        length = micros(d.span("length"));
+        seed = (long) d.number("seed", 0, 1L << 50);
+        slack = micros(d.span("slack", Duration.ofMillis(25)));
+        tick = d.text("tick", "5ms");
+        d.done();
+        zones = p.has("zones") ? p.texts("zones") : List.of("zone");
+        Page f = p.part("fleet");
+        workers = f.whole("workers", 1, 500);
+        cellSize = f.whole("cell_size", 1, 500, 4);
+        slotsPerCore = f.whole("slots_per_core", 1, 100, 3);
+        queuePerCore = f.whole("queue_per_core", 0, 1000, 6);
+        loadsAtOnce = f.whole("loads_at_once", 1, 100, 4);
+        keep = micros(f.span("keep_alive", Duration.ofSeconds(12)));
+        fetchShare = f.number("fetch_share", 0, 1, 0.65);
+        loadFails = f.number("load_fails", 0, 1, 0);
+        eager = f.flag("eager", true);
+        tellsLoad = f.flag("tells_load", true);
+        Page k = f.part("kinds");
+        for (String n : k.keys()) {
+            Page one = k.part(n);
+            kinds.add(new Kind(n, one.number("share", 0, 1), one.whole("cores", 1, 256), one.number("speed", 0.01, 100),
+                one.number("memory", 1, 1e9)));
+            one.done();
+        }
+        f.done();
+        Page s = p.partOrNone("store");
+        storeTakes = s.number("takes", 0.1, 1e6, 8);
+        storeDown = micros(s.span("down", Duration.ofSeconds(3)));
+        s.done();
+        Page l = p.partOrNone("list");
+        listLag = micros(l.span("lag", Duration.ofSeconds(1)));
+        l.done();
+        Page r = p.part("routers");
+        routers = r.whole("count", 1, 250);
+        busiest = r.number("busiest", 0, 1, 1.0 / routers);
+        ownProcesses = r.choice("processes", List.of("own", "one")).equals("own");
+        executions = r.whole("executions", 1, 64, 3);
+        r.text("most_come_back", "1s");
+        r.flag("second_executions", false);
+        r.done();
+        Page o = p.part("load");
+        rate = o.number("rate", 0.1, 100_000);
+        zipf = o.number("zipf", 0, 5, 1.2);
+        functions = o.whole("functions", 1, 5000, 30);
+        manner = new Clients.Manner(o.whole("retries", 0, 20, 2), o.number("least_wait", 0.01, 1, 0.6),
+            micros(o.span("backoff", Duration.ofMillis(80))), o.number("honour", 0, 1, 0.8));
+        o.done();
+        Page w = p.part("workloads");
+        for (String n : w.keys()) { workload(n, w.part(n)); }
+        Page c = p.part("customers");
+        for (String n : c.keys()) {
+            Page one = c.part(n);
+            one.number("rate", 0, 1e9);
+            customers.put(n, one.number("share", 0, 1));
+            one.done();
+        }
+        Page x = p.partOrNone("workers");
+        onMissLoads = x.text("miss", "answers").equals("loads");
+        Page u = p.partOrNone("rules");
+        grace = micros(u.span("drain_grace", Duration.ofMillis(500)));
+        coldShare = u.number("cold_share", 0, 1, 1);
+        coldSpan = micros(u.span("cold_span", Duration.ZERO));
+        fallMultiple = u.number("fall_multiple", 0, 1e6, 3);
+        fallSpan = micros(u.span("fall_span", Duration.ofSeconds(1)));
+        loadsFree = u.number("loads_free", 0, 1e6, 0);
+        loadsShare = u.number("loads_share", 0, 1e6, 0);
+        loadsSpan = micros(u.span("loads_span", Duration.ZERO));
+        for (Page t : p.parts("script")) { script.add(trouble(t)); }
+        p.keys().stream().filter(n -> !List.of("day", "zones", "fleet", "store", "list", "routers", "load", "workloads",
+            "customers", "workers", "rules", "prices", "holds", "links", "script").contains(n)).findFirst()
+            .ifPresent(n -> { throw p.wrong(n, "is no part of a day"); });
+    }
+
+    /** Reads a day; a mistake names file, line and key. */
+    public static Day read(Path path) throws IOException {
+        String text = Files.readString(path);
+        Page page = Page.read(path.toString(), text);
+        Map<String, Object> raw = new Yaml(new SafeConstructor(new LoaderOptions())).load(text);
+        return new Day(path, page, raw);
+    }
+
+    private static long micros(Duration d) { return d.toNanos() / 1000; }
+
+    private void workload(String n, Page w) {
+        String repeat = w.choice("repeat", List.of("restartable", "fingerprinted", "run-once"));
+        long target = micros(w.span("start_target"));
+        long limit = micros(w.span("time_limit"));
+        repeats.add(repeat);
+        wishes.add(new Clients.Wish(n, target, limit, w.number("importance", 0, 1e6, 1), w.number("late_share", 0, 1, 0),
+            repeat.equals("restartable") || repeat.equals("fingerprinted") && w.text("group", "all").equals("all"),
+            repeat.equals("fingerprinted")));
+        likes.add(new Catalogue.Like(n, w.number("share", 0, 1), w.number("memory", 1, 1e6), w.whole("lanes", 1, 1000),
+            micros(w.span("load")), micros(w.span("work")), micros(w.span("io", Duration.ZERO)),
+            w.number("spread", 0, 2, 0.4), repeat.equals("fingerprinted") ? micros(w.span("memory_span")) : 0));
+        w.text("group", "all");
+        w.has("memory_span");
+        w.done();
+    }
+
+    private static Trouble trouble(Page t) {
+        Verb v = t.choice("trouble", Verb.class, null);
+        if (v == null) { t.text("trouble"); }
+        Trouble made = new Trouble(micros(t.span("at")), v, micros(t.span("lasts", Duration.ZERO)),
+            t.number("part", 0, 1, 0.2), t.number("size", 0, 1e6, 2), t.text("of", null));
+        t.done();
+        return made;
+    }
+
+    int zoneOf(int number) { return number % zones.size(); }
+
+    Kind kindOf(int worker) {
+        double u = (worker * 0.618034) % 1;
+        for (Kind k : kinds) {
+            if (u < k.share()) { return k; }
+            u -= k.share();
+        }
+        return kinds.get(0);
+    }
+
+    Machine.Make make(Kind k) {
+        return new Machine.Make(k.cores(), k.speed(), slotsPerCore * k.cores(), queuePerCore * k.cores(), k.memory(),
+            loadsAtOnce, keep, onMissLoads, eager, coldShare, coldSpan, fallMultiple, fallSpan, fetchShare, loadFails);
+    }
+
+    double[] routerShares() {
+        double[] s = new double[routers];
+        double left = routers == 1 ? 1 : 1 - busiest;
+        double sum = 0;
+        for (int i = 1; i < routers; i++) { sum += 1.0 / i; }
+        s[0] = routers == 1 ? 1 : busiest;
+        for (int i = 1; i < routers; i++) { s[i] = left / i / sum; }
+        return s;
+    }
+
+    /** The loopback address from which a router asks its workers: it tells the logs who asked. */
+    static String address(int router) { return "127.1." + (router / 250) + "." + (router % 250 + 1); }
+
+    /** The router of an address, -1 where it is none. */
+    static int router(String address) {
+        String[] p = address.split("\\.");
+        return p.length == 4 && p[1].equals("1") ? Integer.parseInt(p[2]) * 250 + Integer.parseInt(p[3]) - 1 : -1;
+    }
+
+    /** The page of one router of this day. */
+    @SuppressWarnings("unchecked")
+    String routerPage(int number, int port, int listPort, Catalogue catalogue) {
+        Map<String, Object> page = new LinkedHashMap<>();
+        Map<String, Object> r = (Map<String, Object>) raw.get("routers");
+        Map<String, Object> router = new LinkedHashMap<>();
+        router.put("number", number);
+        router.put("of", routers);
+        router.put("zone", zones.get(zoneOf(number)));
+        router.put("tick", tick);
+        router.put("executions", executions);
+        router.put("most_come_back", r.getOrDefault("most_come_back", "1s"));
+        router.put("second_executions", r.getOrDefault("second_executions", false));
+        page.put("router", router);
+        page.put("seed", seed + number);
+        page.put("zones", zones);
+        Map<String, Object> kindsOut = new LinkedHashMap<>();
+        kinds.forEach(k -> kindsOut.put(k.name(), Map.of("memory", k.memory())));
+        page.put("kinds", kindsOut);
+        Map<String, Object> loads = new LinkedHashMap<>();
+        ((Map<String, Object>) raw.get("workloads")).forEach((n, v) -> {
+            Map<String, Object> w = new LinkedHashMap<>((Map<String, Object>) v);
+            List.of("share", "memory", "lanes", "load", "work", "io", "spread").forEach(w::remove);
+            loads.put(n, w);
+        });
+        page.put("workloads", loads);
+        Map<String, Object> who = new LinkedHashMap<>();
+        ((Map<String, Object>) raw.get("customers")).forEach((n, v) ->
+            who.put(n, Map.of("rate", ((Map<String, Object>) v).get("rate"))));
+        page.put("customers", who);
+        Map<String, Object> fs = new LinkedHashMap<>();
+        catalogue.known().stream().sorted(java.util.Comparator.comparing(m -> m.name())).forEach(m ->
+            fs.put(m.name(), function(m.workload(), m.memory(), m.lanes(), m.load())));
+        for (int w = 0; w < likes.size(); w++) {
+            Catalogue.Like like = likes.get(w);
+            for (String kind : List.of("hot-", "once-")) {
+                fs.put(kind + like.workload() + "-*", function(w, like.memory(), like.lanes(), like.load()));
+            }
+        }
+        page.put("functions", fs);
+        for (String part : List.of("workers", "rules", "prices", "holds", "links")) {
+            if (raw.containsKey(part)) { page.put(part, new LinkedHashMap<>((Map<String, Object>) raw.get(part))); }
+        }
+        Map<String, Object> links = (Map<String, Object>) page.computeIfAbsent("links", x -> new LinkedHashMap<>());
+        links.put("from", address(number));
+        ((Map<String, Object>) page.computeIfAbsent("workers", x -> new LinkedHashMap<>()))
+            .put("keep_alive", keep / 1000 + "ms");
+        page.put("listen", Map.of("port", port));
+        page.put("list", Map.of("port", listPort));
+        return new Yaml().dump(page);
+    }
+
+    private Map<String, Object> function(int workload, double memory, int lanes, long load) {
+        Map<String, Object> f = new LinkedHashMap<>();
+        f.put("workload", wishes.get(workload).workload());
+        f.put("memory", Math.round(memory));
+        f.put("lanes", lanes);
+        f.put("load_time", load / 1000 + "ms");
+        return f;
+    }
+
+    static BadPage wrong(String file, String why) { return new BadPage(file, 1, why); }
+}
--- /dev/null
+++ b/src/main/java/switchgap/day/Rig.java
@@ -0,0 +1,208 @@
+package switchgap.day;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import switchgap.standin.Catalogue;
+import switchgap.standin.Clients;
+import switchgap.standin.ListService;
+import switchgap.standin.Model;
+import switchgap.standin.ModelServer;
+import switchgap.standin.Record;
+import switchgap.standin.Store;
+import switchgap.standin.WallTicker;
+import switchgap.wire.Net;
+
+/** Everything a day needs on loopback ports: model servers, store, list service, routers, clients, and their logs. */
+final class Rig implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Rig.class);
+    final Day day;
+    final WallTicker ticker = new WallTicker();
+    final Record fleetLog, clientLog, listLog, scriptLog;
+    final Catalogue catalogue;
+    final Store store;
+    final ListService list;
+    final Clients clients;
+    final Map<String, ModelServer> servers = new LinkedHashMap<>();
+    final List<RouterHost> routers = new ArrayList<>();
+    final SplittableRandom chance;
+    private final Net net;
+    private final List<Map<String, Long>> fingerprints = new ArrayList<>();
+    private final Path dir;
+    private final int[] ports;
+    private int next;
+
+    Rig(Day day, Path dir) throws IOException {
+        this.day = day;
+        this.dir = Files.createDirectories(dir);
+        chance = new SplittableRandom(day.seed);
+        net = new Net(3, "rig");
+        fleetLog = new Record(dir.resolve("fleet.jsonl"));
+        clientLog = new Record(dir.resolve("clients.jsonl"));
+        listLog = new Record(dir.resolve("list.jsonl"));
+        scriptLog = new Record(dir.resolve("script.jsonl"));
+        catalogue = new Catalogue(day.likes, day.functions, day.zipf, day.seed);
+        store = new Store(ticker, fleetLog, day.storeTakes, day.storeDown);
+        list = new ListService(ticker, net, listLog, day.listLag);
+        fingerprints.add(new HashMap<>());
+        clients = new Clients(ticker, net, clientLog, catalogue, day.wishes.toArray(new Clients.Wish[0]), day.manner,
+            day.rate, day.routerShares(), day.customers, day.seed + 1);
+        ports = new int[day.routers];
+        for (int i = 0; i < day.workers; i++) { startWorker(false); }
+        seedCopies();
+        for (int i = 0; i < day.routers; i++) {
+            ports[i] = freePort();
+            Path page = dir.resolve("router-" + i + ".yaml");
+            Files.writeString(page, day.routerPage(i, ports[i], list.port(), catalogue));
+            routers.add(day.ownProcesses ? new RouterProcess(page, dir.resolve("router-" + i + ".log"))
+                : new RouterInside(page));
+            routers.get(i).start();
+            clients.router(i, ports[i], day.zones.get(day.zoneOf(i)));
+        }
+        for (int p : ports) { awaitPort(p); }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return s.getLocalPort();
+        }
+    }
+
+    private static void awaitPort(int port) throws IOException {
+        for (long end = System.nanoTime() + 15_000_000_000L; ; ) {
+            try (Socket s = new Socket("127.0.0.1", port)) {
+                return;
+            } catch (IOException e) {
+                if (System.nanoTime() > end) { throw new IOException("a router does not listen at " + port, e); }
+                try {
+                    Thread.sleep(20);
+                } catch (InterruptedException x) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }
+    }
+
+    /** A worker of a new name, with its process; cold ones say when they started. */
+    void startWorker(boolean cold) throws IOException {
+        int n = next++;
+        String name = "w" + n;
+        Day.Kind k = day.kindOf(n);
+        ModelServer s = new ModelServer(name, ticker, net, fleetLog, catalogue::find, Day::router, fingerprints.get(0),
+            day.tellsLoad, day.seed + 100 + n);
+        int port = s.start(day.make(k), store, day.seed + 1000 + n, cold);
+        servers.put(name, s);
+        list.put(line(name, port, "ready", n, k, cold));
+    }
+
+    private ListService.Line line(String name, int port, String state, int n, Day.Kind k, boolean cold) {
+        return new ListService.Line(name, port, state, day.zones.get(day.zoneOf(n)), n / day.cellSize, k.name(),
+            k.cores() * k.speed(), cold ? ticker.now() / 1000 : 0);
+    }
+
+    /** What the fleet held lately: each function at one worker, while there is room. */
+    private void seedCopies() {
+        List<ModelServer> all = List.copyOf(servers.values());
+        for (Model m : catalogue.known()) {
+            all.get(Math.floorMod(m.name().hashCode() * 31, all.size())).machine().seed(m);
+        }
+    }
+
+    /** Tells the list a new state of a worker. */
+    void state(String name, String state) {
+        for (ListService.Line l : list.lines()) {
+            if (l.name().equals(name)) {
+                list.put(new ListService.Line(name, l.port(), state, l.zone(), l.cell(), l.kind(), l.size(), l.started()));
+            }
+        }
+    }
+
+    /** Drains a worker, ends its process after the span, and tells the list that it is gone. */
+    void drain(String name, long micros) {
+        state(name, "draining");
+        ticker.after(micros, () -> {
+            servers.get(name).kill();
+            state(name, "gone");
+        });
+    }
+
+    /** The process dies and comes back after the span with nothing, under its old name. */
+    void restart(String name, long micros) {
+        servers.get(name).kill();
+        int n = Integer.parseInt(name.substring(1));
+        ticker.after(micros, () -> {
+            try {
+                int port = servers.get(name).start(day.make(day.kindOf(n)), store, day.seed + ticker.now(), true);
+                list.put(line(name, port, "ready", n, day.kindOf(n), true));
+            } catch (IOException e) {
+                LOG.error("worker {} can't be started again", name, e);
+            }
+        });
+    }
+
+    /** Running workers that are listed as ready, a share of them by chance, one at the least. */
+    List<ModelServer> some(double part) {
+        List<ModelServer> ready = new ArrayList<>();
+        for (ListService.Line l : list.lines()) {
+            if (l.state().equals("ready") && servers.get(l.name()).runs()) { ready.add(servers.get(l.name())); }
+        }
+        int n = Math.max(1, (int) Math.round(part * ready.size()));
+        while (ready.size() > n) { ready.remove(chance.nextInt(ready.size())); }
+        return ready;
+    }
+
+    void killRouter(int i) {
+        scriptLog.line(ticker.now(), "router-killed", "router", i);
+        routers.get(i).kill();
+    }
+
+    void startRouter(int i) {
+        try {
+            routers.get(i).start();
+            scriptLog.line(ticker.now(), "router-started", "router", i);
+        } catch (IOException e) {
+            LOG.error("router {} can't be started again", i, e);
+        }
+    }
+
+    /** Ends everything in good order: routers first, so that what they hold is answered; then the logs are whole. */
+    void finish() throws IOException {
+        Thread[] all = new Thread[routers.size()];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = new Thread(routers.get(i)::stop);
+            all[i].start();
+        }
+        for (Thread t : all) {
+            try {
+                t.join(9000);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        long now = ticker.now();
+        fleetLog.end(now);
+        clientLog.end(now);
+        listLog.end(now);
+        scriptLog.end(now);
+    }
+
+    @Override public void close() {
+        routers.forEach(RouterHost::kill);
+        servers.values().forEach(ModelServer::kill);
+        list.close();
+        ticker.close();
+        net.close();
+    }
+
+    int port(int router) { return ports[router]; }
+}
--- /dev/null
+++ b/src/main/java/switchgap/day/RouterProcess.java
@@ -0,0 +1,53 @@
+package switchgap.day;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A router in a process of its own, started from this program's own class path. */
+final class RouterProcess implements RouterHost {
+    private final Path page;
+    private final Path log;
+    private Process process;
+
+    RouterProcess(Path page, Path log) {
+        this.page = page;
+        this.log = log;
+    }
+
+    @Override public void start() throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        process = new ProcessBuilder(List.of(java, "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
+            System.getProperty("java.class.path"), "switchgap.cli.Main", "router", page.toString()))
+            .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString()))).start();
+    }
+
+    @Override public void kill() {
+        if (process != null) { process.destroyForcibly(); }
+    }
+
+    @Override public boolean pause(boolean is) {
+        try {
+            return process != null && new ProcessBuilder("kill", is ? "-STOP" : "-CONT", String.valueOf(process.pid()))
+                .start().waitFor() == 0;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    @Override public void stop() {
+        if (process == null) { return; }
+        process.destroy();
+        try {
+            if (!process.waitFor(8, TimeUnit.SECONDS)) { process.destroyForcibly(); }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            process.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/day/Script.java
@@ -0,0 +1,157 @@
+package switchgap.day;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import switchgap.standin.Faults;
+import switchgap.standin.Model;
+import switchgap.standin.ModelServer;
+
+/** Brings the troubles of a day at their times and ends them. */
+final class Script {
+    private final Rig rig;
+    private final Day day;
+
+    Script(Rig rig) {
+        this.rig = rig;
+        this.day = rig.day;
+    }
+
+    void start() {
+        for (Day.Trouble t : day.script) { rig.ticker.after(t.at(), () -> bring(t)); }
+    }
+
+    private void later(long micros, Runnable then) { rig.ticker.after(micros, then); }
+
+    private void bring(Day.Trouble t) {
+        rig.scriptLog.line(rig.ticker.now(), "trouble", "verb", t.verb().name(), "lasts", t.lasts(), "part", t.part(),
+            "size", t.size());
+        switch (t.verb()) {
+            case SLOW -> {
+                List<ModelServer> some = rig.some(t.part());
+                some.forEach(s -> s.machine().slow(t.size()));
+                later(t.lasts(), () -> some.forEach(s -> s.machine().slow(1)));
+            }
+            case ERRORS -> fault(t, Faults.Kind.ERROR);
+            case ANSWERS_LOST -> fault(t, Faults.Kind.LOST);
+            case RESET_MID_ANSWER -> fault(t, Faults.Kind.RESET);
+            case HALF_ANSWERS -> fault(t, Faults.Kind.HALF);
+            case LATE_ANSWERS -> fault(t, Faults.Kind.LATE);
+            case ANSWERED_TWICE -> fault(t, Faults.Kind.TWICE);
+            case OVERSIZED_ANSWERS -> fault(t, Faults.Kind.OVERSIZED);
+            case CLOSED_AT_REQUEST -> fault(t, Faults.Kind.CLOSED_AT_REQUEST);
+            case SLOW_CONNECTIONS -> fault(t, Faults.Kind.SLOW_CONNECT);
+            case BURST -> {
+                rig.clients.burst(t.size());
+                later(t.lasts(), () -> rig.clients.burst(1));
+            }
+            case CUSTOMER_BURST -> {
+                rig.clients.burst(customer(t), t.size());
+                later(t.lasts(), () -> rig.clients.burst(customer(t), 1));
+            }
+            case HAMMERING -> {
+                rig.clients.hammer(customer(t));
+                later(t.lasts(), () -> rig.clients.hammer(null));
+            }
+            case HOT_FUNCTIONS -> {
+                rig.catalogue.hot(t.part(), (int) Math.max(1, t.size()));
+                later(t.lasts(), () -> rig.catalogue.hot(0, 1));
+            }
+            case ONE_OFF_FUNCTIONS -> {
+                rig.catalogue.once(t.part());
+                later(t.lasts(), () -> rig.catalogue.once(0));
+            }
+            case RELEASED_ANEW -> {
+                for (Model m : rig.catalogue.known()) {
+                    if (rig.chance.nextDouble() < t.part()) {
+                        rig.servers.values().forEach(s -> s.machine().flush(m.name()));
+                    }
+                }
+            }
+            case TRAFFIC_MOVED -> {
+                rig.clients.moveTo(t.of() == null ? day.zones.get(0) : t.of());
+                later(t.lasts(), () -> rig.clients.moveTo(null));
+            }
+            case STORE_SLOW -> {
+                rig.store.slow(t.size());
+                later(t.lasts(), () -> rig.store.slow(1));
+            }
+            case LIST_LATE -> {
+                rig.list.lag(day.listLag + (long) (t.size() * 1e6));
+                later(t.lasts(), () -> rig.list.lag(day.listLag));
+            }
+            case LIST_AWAY -> {
+                rig.list.away(true);
+                later(t.lasts(), () -> rig.list.away(false));
+            }
+            case DRAIN -> rig.some(t.part()).forEach(s -> replace(s, (long) (t.size() * 1e6)));
+            case TAKEN_AWAY -> rig.some(t.part()).forEach(s -> replace(s, 500_000));
+            case RELEASE -> release(t);
+            case WORKERS_KILLED -> rig.some(t.part()).forEach(s -> {
+                s.kill();
+                later(t.lasts(), () -> {
+                    rig.state(s.name, "gone");
+                    worker();
+                });
+            });
+            case WORKER_RESTARTED -> rig.some(t.part()).forEach(s -> rig.restart(s.name, t.lasts()));
+            case ROUTER_KILLED -> restart((int) t.size() % day.routers, t.lasts());
+            case ROUTERS_RESTARTED -> {
+                int n = (int) Math.max(1, Math.round(t.part() * day.routers));
+                for (int i = 0; i < n; i++) {
+                    int r = i;
+                    later(t.lasts() * i / n, () -> restart(r, 1_000_000));
+                }
+            }
+            case ROUTER_PAUSED -> {
+                int r = (int) t.size() % day.routers;
+                rig.scriptLog.line(rig.ticker.now(), "router-paused", "router", r, "done", rig.routers.get(r).pause(true));
+                later(t.lasts(), () -> {
+                    rig.routers.get(r).pause(false);
+                    rig.scriptLog.line(rig.ticker.now(), "router-resumed", "router", r);
+                });
+            }
+        }
+    }
+
+    private String customer(Day.Trouble t) {
+        return t.of() == null ? day.customers.keySet().iterator().next() : t.of();
+    }
+
+    private void fault(Day.Trouble t, Faults.Kind kind) {
+        List<ModelServer> some = rig.some(t.part());
+        some.forEach(s -> s.faults.set(kind, t.size()));
+        later(t.lasts(), () -> some.forEach(s -> s.faults.set(kind, 0)));
+    }
+
+    private void worker() {
+        try {
+            rig.startWorker(true);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void replace(ModelServer s, long drains) {
+        rig.drain(s.name, drains);
+        worker();
+    }
+
+    private void restart(int r, long down) {
+        rig.killRouter(r);
+        later(down, () -> rig.startRouter(r));
+    }
+
+    /** A rolling release: the workers of that moment give way in batches over the span. */
+    private void release(Day.Trouble t) {
+        List<ModelServer> all = rig.some(t.part());
+        int batch = Math.max(1, (int) Math.round(all.size() * 0.15));
+        int batches = (all.size() + batch - 1) / batch;
+        for (int b = 0; b < batches; b++) {
+            List<ModelServer> these = all.subList(b * batch, Math.min(all.size(), (b + 1) * batch));
+            later(t.lasts() * b / batches, () -> these.forEach(s -> {
+                if (s.runs()) { replace(s, (long) (t.size() * 1e6)); }
+            }));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -0,0 +1,122 @@
+package switchgap.gateway;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import switchgap.invoke.InvokeApi;
+import switchgap.list.ListWatch;
+import switchgap.router.Core;
+import switchgap.router.Deferred;
+import switchgap.terms.PageTerms;
+import switchgap.wire.Clock;
+import switchgap.wire.HttpDoor;
+import switchgap.wire.HttpLink;
+import switchgap.wire.Net;
+import switchgap.workers.Inference;
+
+/** A running router. States: STARTING, SERVING, STOPPING (answers what it holds), STOPPED. */
+public final class Gateway implements AutoCloseable {
+    private enum State { STARTING, SERVING, STOPPING, STOPPED }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+    private final AtomicReference<State> state = new AtomicReference<>(State.STARTING);
+    private final Net net;
+    private final Loop loop;
+    private final InvokeApi api;
+    private final HttpDoor door;
+    private final ListWatch watch;
+    private final Duration longest;
+    private final ScheduledFuture<?> sweeper;
+    private final Inference workers;
+    private final int port;
+
+    public Gateway(GatewayPage page) throws IOException {
+        PageTerms terms = page.terms();
+        long bornWall = System.currentTimeMillis();
+        net = new Net(page.selectors(), "router-" + terms.self());
+        HttpLink.Opener opener = new HttpLink.Opener(net, page.from(), page.answerBytes());
+        AtomicReference<Runnable> listening = new AtomicReference<>(() -> { });
+        AtomicReference<Inference> made = new AtomicReference<>();
+        loop = new Loop(l -> {
+            made.set(new Inference(opener, page.links(), l::post, () -> listening.get().run(), t -> LOG.info("module: {}", t)));
+            return new Core(terms, page.seed(), made.get(), page.orderLimit(), page.probeLimit(), page.mostFunctions());
+        }, "loop-" + terms.self());
+        workers = made.get();
+        String start = "r" + terms.self() + "-" + Long.toString(bornWall, 36) + "-";
+        Deferred deferred = new Deferred(start + "d", page.kept(), page.mostDeferred(), page.mostDeferredBytes());
+        api = new InvokeApi(terms, loop::now, loop::post, deferred, start, page.mostHeld(), page.mostWait());
+        door = new HttpDoor(net, page.bounds(), api);
+        watch = page.list() == null ? null : new ListWatch(opener, page.list(), terms.self(), bornWall, page.listAgain(),
+            terms::zone, terms::machineKind, loop::post);
+        if (!page.fixed().isEmpty()) { loop.post(c -> c.list(true, page.fixed())); }
+        if (watch != null) {
+            listening.set(watch::follow);
+            watch.follow();
+        }
+        Duration most = Duration.ZERO;
+        for (int w = 0; w < terms.workloads(); w++) {
+            most = most.compareTo(terms.timeLimit(w)) < 0 ? terms.timeLimit(w) : most;
+        }
+        longest = most;
+        sweeper = Clock.LATER.scheduleAtFixedRate(this::sweep, 1, 1, TimeUnit.SECONDS);
+        loop.start();
+        try {
+            port = door.listen(page.host(), page.port());
+        } catch (IOException e) {
+            close();
+            throw new IOException("can't listen at " + page.host() + ":" + page.port() + ": " + e.getMessage(), e);
+        }
+        state.set(State.SERVING);
+        LOG.info("router {} of {} serves at {}:{}", terms.self(), terms.routers(), page.host(), port);
+    }
+
+    private void sweep() {
+        workers.sweep();
+    }
+
+    public int port() { return port; }
+
+    /** Calls held now. */
+    public int held() { return api.held(); }
+
+    /** Calls ended: finished, pushed back, killed, overdue. */
+    public long[] ends() { return api.ends(); }
+
+    /** Microseconds by which the loop came late. */
+    public Histogram lateness() { return loop.lateness(); }
+
+    /** Takes nothing more, waits until all that is held has its answer, then closes. */
+    public void stop() {
+        if (!state.compareAndSet(State.SERVING, State.STOPPING)) { return; }
+        api.stopTaking();
+        door.shut();
+        LOG.info("stopping: {} calls are held", api.held());
+        long end = System.nanoTime() + longest.toNanos();
+        while (api.held() > 0 && System.nanoTime() < end) {
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                break;
+            }
+        }
+        long[] n = api.ends();
+        LOG.info("stopped: {} finished, {} pushed back, {} killed, {} overdue", n[0], n[1], n[2], n[3]);
+        close();
+    }
+
+    @Override public void close() {
+        if (state.getAndSet(State.STOPPED) == State.STOPPED) { return; }
+        sweeper.cancel(false);
+        if (watch != null) { watch.close(); }
+        door.close();
+        loop.stop();
+        workers.close();
+        net.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/gateway/GatewayPage.java
@@ -0,0 +1,72 @@
+package switchgap.gateway;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import switchgap.port.Standing;
+import switchgap.router.Listed;
+import switchgap.terms.Page;
+import switchgap.terms.PageTerms;
+import switchgap.wire.Bounds;
+import switchgap.workers.Inference;
+
+/** All that a router's page states: its terms, where it listens, whom it asks for the list, and its bounds. */
+public record GatewayPage(PageTerms terms, long seed, String host, int port, Bounds bounds, int mostHeld, int mostWait,
+                          int mostFunctions, Duration kept, int mostDeferred, long mostDeferredBytes,
+                          Inference.Links links, String from, int answerBytes, int selectors, Duration orderLimit,
+                          Duration probeLimit, InetSocketAddress list, Duration listAgain, List<Listed> fixed) {
+    public static GatewayPage read(Path file) throws java.io.IOException {
+        return read(Page.read(file));
+    }
+
+    /** Reads a page whole; a mistake is a {@link switchgap.terms.BadPage} that names file, line and key. */
+    public static GatewayPage read(Page p) {
+        PageTerms terms = new PageTerms(p);
+        Page l = p.part("listen");
+        String host = l.text("host", "127.0.0.1");
+        int port = l.whole("port", 0, 65535);
+        Bounds bounds = new Bounds(l.whole("header_bytes", 1024, 1 << 20, 16 << 10),
+            l.whole("body_bytes", 1, 1 << 28, 1 << 20), l.whole("connections", 1, 1_000_000, 20_000),
+            l.span("idle", Duration.ofSeconds(75)), l.span("arrival", Duration.ofSeconds(10)));
+        int selectors = l.whole("selectors", 1, 64, 2);
+        l.done();
+        Page h = p.partOrNone("holds");
+        int mostHeld = h.whole("calls", 1, 1_000_000, 20_000);
+        int mostFunctions = h.whole("functions", 1, 1_000_000, 20_000);
+        Duration kept = h.span("results_kept", Duration.ofMinutes(5));
+        int mostDeferred = h.whole("deferred", 1, 1_000_000, 10_000);
+        int mb = h.whole("deferred_mb", 1, 1 << 20, 64);
+        int mostWait = h.whole("poll_seconds", 0, 3600, 60);
+        h.done();
+        Page k = p.partOrNone("links");
+        Inference.Links links = new Inference.Links(k.whole("connections", 1, 100_000, 64),
+            k.whole("waiting", 1, 1_000_000, 1024), k.span("connect_within", Duration.ofMillis(250)),
+            k.span("idle", Duration.ofSeconds(30)));
+        String from = k.text("from", null);
+        int answerBytes = k.whole("answer_bytes", 1, 1 << 28, 4 << 20);
+        Duration orderLimit = k.span("order_within", Duration.ofSeconds(10));
+        Duration probeLimit = k.span("probe_within", Duration.ofMillis(250));
+        k.done();
+        Page s = p.partOrNone("list");
+        InetSocketAddress list = s.has("port")
+            ? new InetSocketAddress(s.text("host", "127.0.0.1"), s.whole("port", 1, 65535)) : null;
+        Duration again = s.span("ask_again", Duration.ofMillis(500));
+        List<Listed> fixed = new ArrayList<>();
+        for (Page w : s.parts("workers")) {
+            int zone = terms.zone(w.text("zone", terms.zoneName(0)));
+            if (zone < 0) { throw w.wrong("zone", "'" + w.text("zone") + "' is not among zones"); }
+            fixed.add(new Listed(w.text("name"), w.text("host", "127.0.0.1"), w.whole("port", 1, 65535),
+                Standing.READY, zone, w.whole("cell", 0, 100_000, 0), terms.machineKind(w.text("kind", "")),
+                w.number("size", 0, 1e9, 1), null));
+            w.done();
+        }
+        s.done();
+        if (list == null && fixed.isEmpty()) { throw p.wrong("list", "needs a port to ask, or workers"); }
+        long seed = (long) p.number("seed", 0, 1L << 52, terms.self() + 1);
+        p.done();
+        return new GatewayPage(terms, seed, host, port, bounds, mostHeld, mostWait, mostFunctions, kept, mostDeferred,
+            (long) mb << 20, links, from, answerBytes, selectors, orderLimit, probeLimit, list, again, fixed);
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Puts a router together: its page, its loop, its sockets. */
+package switchgap.gateway;
--- /dev/null
+++ b/src/main/java/switchgap/invoke/Ask.java
@@ -0,0 +1,81 @@
+package switchgap.invoke;
+
+import java.time.Duration;
+import switchgap.port.Repeat;
+import switchgap.terms.PageTerms;
+import switchgap.wire.Request;
+
+/**
+ * What an invoke request asks for, checked against the terms. Headers: {@code Switchgap-Workload},
+ * {@code Switchgap-Customer}, {@code Switchgap-Time-Limit} and {@code Switchgap-Cost-Hint} in milliseconds,
+ * {@code Switchgap-Call}, {@code Switchgap-Repeat}, {@code Idempotency-Key}, {@code Prefer: respond-async}.
+ */
+record Ask(String function, PageTerms.Entry entry, int workload, int customer, Duration limit, Duration hint,
+           String fingerprint, String call, boolean repeat, boolean deferred) {
+    /** Not a request that can be taken; the problem says why. */
+    static final class Refused extends Exception {
+        private static final long serialVersionUID = 1;
+        final transient Problem problem;
+
+        Refused(Problem problem) {
+            super(problem.detail(), null, false, false);
+            this.problem = problem;
+        }
+    }
+
+    private static final int MOST_KEY = 256;
+
+    static Ask read(String function, Request r, PageTerms terms) throws Refused {
+        PageTerms.Entry entry = function.length() > MOST_KEY ? null : terms.function(function);
+        if (entry == null) { throw no(404, "unknown-function", "no function is called " + brief(function)); }
+        String asked = r.header("Switchgap-Workload");
+        int workload = asked == null ? entry.workload() : terms.workload(asked);
+        if (workload < 0) { throw no(400, "unknown-workload", "no workload is called " + brief(asked)); }
+        String named = r.header("Switchgap-Customer");
+        int customer = named == null ? entry.customer() : terms.customer(named);
+        if (named != null && customer < 0) { throw no(400, "unknown-customer", "no customer is called " + brief(named)); }
+        PageTerms.Kind kind = terms.kind(workload);
+        Duration limit = millis(r, "Switchgap-Time-Limit", kind.limit());
+        if (limit.isZero()) { throw no(400, "limit-past", "the time limit has passed already"); }
+        if (limit.compareTo(kind.limit()) > 0) { limit = kind.limit(); }
+        Duration hint = millis(r, "Switchgap-Cost-Hint", null);
+        String key = brief(r, "Idempotency-Key");
+        if (kind.repeat() == Repeat.FINGERPRINTED && key == null) {
+            throw no(400, "fingerprint-missing", "workload " + kind.name() + " needs an Idempotency-Key");
+        }
+        String prefer = r.header("Prefer");
+        return new Ask(function, entry, workload, customer, limit, hint, key, brief(r, "Switchgap-Call"),
+            "true".equals(r.header("Switchgap-Repeat")), prefer != null && prefer.contains("respond-async"));
+    }
+
+    private static String brief(Request r, String header) throws Refused {
+        String v = r.header(header);
+        if (v != null && v.length() > MOST_KEY) {
+            throw no(400, "malformed-header", header + " is longer than " + MOST_KEY + " characters");
+        }
+        return v;
+    }
+
+    private static Duration millis(Request r, String header, Duration otherwise) throws Refused {
+        String v = r.header(header);
+        if (v == null) { return otherwise; }
+        try {
+            double ms = Double.parseDouble(v);
+            if (ms <= 0) { return Duration.ZERO; }
+            if (ms <= 1e10) { return Duration.ofNanos((long) (ms * 1e6)); }
+        } catch (NumberFormatException e) {
+            throw no(400, "malformed-header", header + " is no number of milliseconds: " + brief(v));
+        }
+        throw no(400, "malformed-header", header + " is out of range: " + brief(v));
+    }
+
+    /** Bad input is told back in short, without what could break a line. */
+    static String brief(String v) {
+        String s = v.length() > 60 ? v.substring(0, 60) + "..." : v;
+        return "'" + s.replaceAll("\\p{Cntrl}", "?") + "'";
+    }
+
+    static Refused no(int status, String kind, String detail) {
+        return new Refused(new Problem(status, kind, detail));
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/invoke/InvokeApi.java
@@ -0,0 +1,312 @@
+package switchgap.invoke;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import switchgap.router.Answer;
+import switchgap.router.Asker;
+import switchgap.router.Call;
+import switchgap.router.Core;
+import switchgap.router.Deferred;
+import switchgap.terms.PageTerms;
+import switchgap.wire.Clock;
+import switchgap.wire.HttpDoor;
+import switchgap.wire.Request;
+
+/**
+ * The desk of the invoke API. Requests are checked on the selector thread that read them; what concerns calls and
+ * deferred results is posted to the router's one loop. Takes at most so many calls at a time.
+ */
+public final class InvokeApi implements HttpDoor.Desk {
+    private static final String JSON = "application/json";
+    private final PageTerms terms;
+    private final Supplier<Duration> now;
+    private final Consumer<Consumer<Core>> events;
+    private final Deferred deferred;
+    private final String prefix;
+    private final int mostHeld;
+    private final int mostWait;
+    private final AtomicInteger held = new AtomicInteger();
+    private final AtomicLong next = new AtomicLong();
+    private final AtomicLong[] ends = {new AtomicLong(), new AtomicLong(), new AtomicLong(), new AtomicLong()};
+    private volatile boolean closing;
+
+    /** {@code prefix} of call ids: unlike any other start of any router; {@code mostWait} seconds of a held poll. */
+    public InvokeApi(PageTerms terms, Supplier<Duration> now, Consumer<Consumer<Core>> events, Deferred deferred,
+                     String prefix, int mostHeld, int mostWait) {
+        this.terms = terms;
+        this.now = now;
+        this.events = events;
+        this.deferred = deferred;
+        this.prefix = prefix;
+        this.mostHeld = mostHeld;
+        this.mostWait = mostWait;
+    }
+
+    /** Takes no further calls; those held get their answers. */
+    public void stopTaking() { closing = true; }
+
+    public int held() { return held.get(); }
+
+    /** Calls ended so far: finished, pushed back, killed, overdue. */
+    public long[] ends() {
+        long[] n = new long[ends.length];
+        for (int i = 0; i < n.length; i++) { n[i] = ends[i].get(); }
+        return n;
+    }
+
+    @Override public void asked(Request r) {
+        try {
+            String[] at = r.path.split("/", -1);
+            if (at.length == 5 && at[1].equals("v1") && at[2].equals("functions") && at[4].equals("invoke")) {
+                only(r, "POST");
+                invoke(at[3], r);
+            } else if (at.length == 4 && at[1].equals("v1") && at[2].equals("calls")) {
+                if (r.method.equals("DELETE")) {
+                    events.accept(c -> leave(r, at[3], c));
+                } else {
+                    only(r, "GET");
+                    int wait = wait(r);
+                    events.accept(c -> look(r, at[3], wait));
+                }
+            } else if (r.path.equals("/healthz")) {
+                r.answer(closing ? 503 : 200, Map.of("Content-Type", "text/plain"),
+                    (closing ? "stopping\n" : "ok\n").getBytes(StandardCharsets.US_ASCII));
+            } else {
+                throw Ask.no(404, "unknown-path", "nothing is at " + Ask.brief(r.path));
+            }
+        } catch (Ask.Refused e) {
+            refuse(r, e.problem, null);
+        }
+    }
+
+    private static void only(Request r, String method) throws Ask.Refused {
+        if (!r.method.equals(method)) {
+            throw Ask.no(405, "method-not-allowed", Ask.brief(r.method) + " is not spoken here, " + method + " is");
+        }
+    }
+
+    private int wait(Request r) throws Ask.Refused {
+        String prefer = r.header("Prefer");
+        int i = prefer == null ? -1 : prefer.indexOf("wait=");
+        if (i < 0) { return 0; }
+        String digits = prefer.substring(i + 5).split("[^0-9]", 2)[0];
+        if (digits.isEmpty() || digits.length() > 6) { throw Ask.no(400, "malformed-header", "Prefer: wait= needs seconds"); }
+        return Math.min(mostWait, Integer.parseInt(digits));
+    }
+
+    private void invoke(String function, Request r) throws Ask.Refused {
+        Ask a = Ask.read(function, r, terms);
+        if (closing) { throw notTaken("the router is stopping"); }
+        if (held.incrementAndGet() > mostHeld) {
+            held.decrementAndGet();
+            throw notTaken("the router holds " + mostHeld + " calls already");
+        }
+        Duration limit = now.get().plus(a.limit());
+        if (a.deferred()) {
+            events.accept(c -> defer(r, a, limit, c));
+        } else {
+            Call call = call(a, r, limit, prefix + next.getAndIncrement(), new Sync(r, a.call()));
+            r.attachment = call;
+            events.accept(c -> {
+                if (!c.callCame(call)) {
+                    held.decrementAndGet();
+                    refuse(r, notTaken("no room for a further function").problem, a.call());
+                } else if (!r.open()) {
+                    c.clientLeft(call);
+                    held.decrementAndGet();
+                }
+            });
+        }
+    }
+
+    /** Never executed, so trying again is harmless: a pushback in all but that the call was not taken. */
+    private static Ask.Refused notTaken(String why) {
+        return new Ask.Refused(new Problem(503, "not-taken", why, Map.of("end", "pushed-back", "repeat_harmless", true)));
+    }
+
+    private static Call call(Ask a, Request r, Duration limit, String id, Asker asker) {
+        return new Call(id, a.function(), a.workload(), a.customer(), limit, a.hint(), a.fingerprint(),
+            r.header("Content-Type"), r.body, a.entry().memory(), a.entry().lanes(), a.entry().load(), a.repeat(), asker);
+    }
+
+    @Override public void left(Request r) {
+        if (r.attachment instanceof Call call) {
+            events.accept(c -> {
+                if (call.state() == Call.State.HELD) {
+                    c.clientLeft(call);
+                    held.decrementAndGet();
+                }
+            });
+        } else if (r.attachment instanceof Runnable waiting) {
+            events.accept(c -> waiting.run());
+        }
+    }
+
+    /** A client that waits for its answer on the connection it asked on. */
+    private final class Sync implements Asker {
+        private final Request r;
+        private final String echo;
+
+        Sync(Request r, String echo) {
+            this.r = r;
+            this.echo = echo;
+        }
+
+        @Override public void answered(Call c, Answer a) {
+            ended(a);
+            reply(r, a, c.id, echo);
+        }
+
+        @Override public void overdue(Call c) {
+            ended(null);
+            r.drop();
+        }
+    }
+
+    private void ended(Answer a) {
+        held.decrementAndGet();
+        ends[a == null ? 3 : a.kind().ordinal()].incrementAndGet();
+    }
+
+    // ------------------------------------------------------------------ deferred calls, on the loop
+
+    private void defer(Request r, Ask a, Duration limit, Core core) {
+        deferred.tick(now.get());
+        Deferred.Entry e = deferred.open();
+        if (e == null) {
+            held.decrementAndGet();
+            refuse(r, notTaken("no room for a further deferred call").problem, a.call());
+            return;
+        }
+        Call call = call(a, r, limit, deferred.id(e), new Asker() {
+            @Override public void answered(Call c, Answer answer) {
+                ended(answer);
+                e.answered(c, answer);
+            }
+
+            @Override public void overdue(Call c) {
+                ended(null);
+                e.overdue(c);
+            }
+        });
+        if (!core.callCame(call)) {
+            held.decrementAndGet();
+            deferred.refused(e);
+            refuse(r, notTaken("no room for a further function").problem, a.call());
+            return;
+        }
+        deferred.held(e, call);
+        Map<String, String> headers = headers(call.id, a.call());
+        headers.put("Location", "/v1/calls/" + call.id);
+        headers.put("Preference-Applied", "respond-async");
+        headers.put("Content-Type", JSON);
+        r.answer(202, headers, state(call.id));
+    }
+
+    private static byte[] state(String id) {
+        return ("{\"call\":\"" + id + "\",\"state\":\"held\"}").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void look(Request r, String id, int wait) {
+        deferred.tick(now.get());
+        switch (deferred.known(id)) {
+            case NEVER -> refuse(r, new Problem(404, "unknown-call", "no deferred call is called " + Ask.brief(id)), null);
+            case GONE -> refuse(r, new Problem(410, "result-gone", "the result of " + id + " is kept no longer"), null);
+            case ENDED -> replyEnded(r, deferred.find(id));
+            default -> {
+                Deferred.Entry e = deferred.find(id);
+                Consumer<Deferred.Entry> waiter = x -> replyEnded(r, x);
+                if (wait == 0 || !deferred.await(e, waiter)) {
+                    replyHeld(r, id);
+                    return;
+                }
+                r.attachment = (Runnable) () -> deferred.leave(e, waiter);
+                Clock.LATER.schedule(() -> events.accept(c -> {
+                    deferred.leave(e, waiter);
+                    replyHeld(r, id);
+                }), wait, TimeUnit.SECONDS);
+            }
+        }
+    }
+
+    private static void replyHeld(Request r, String id) {
+        Map<String, String> headers = headers(id, null);
+        headers.put("Location", "/v1/calls/" + id);
+        headers.put("Content-Type", JSON);
+        r.answer(202, headers, state(id));
+    }
+
+    private void replyEnded(Request r, Deferred.Entry e) {
+        Answer a = e.answer();
+        reply(r, a == null ? new Answer(Answer.Kind.KILLED, 0, Map.of(), new byte[0], null) : a, deferred.id(e), null);
+    }
+
+    private void leave(Request r, String id, Core core) {
+        deferred.tick(now.get());
+        Deferred.Entry e = deferred.find(id);
+        if (e == null) {
+            look(r, id, 0);
+            return;
+        }
+        if (!e.ended() && e.call().state() == Call.State.HELD) {
+            core.clientLeft(e.call());
+            held.decrementAndGet();
+        }
+        deferred.forget(e);
+        r.answer(204, headers(id, null), new byte[0]);
+    }
+
+    // ------------------------------------------------------------------ answers
+
+    private static Map<String, String> headers(String id, String echo) {
+        Map<String, String> h = new HashMap<>();
+        if (id != null) { h.put("Switchgap-Id", id); }
+        if (echo != null) { h.put("Switchgap-Call", echo); }
+        return h;
+    }
+
+    private static void refuse(Request r, Problem p, String echo) {
+        Map<String, String> h = headers(null, echo);
+        h.put("Content-Type", Problem.TYPE);
+        if (p.members().get("end") != null) { h.put("Switchgap-End", String.valueOf(p.members().get("end"))); }
+        r.answer(p.status(), h, p.bytes());
+    }
+
+    private static void reply(Request r, Answer a, String id, String echo) {
+        Map<String, String> h = headers(id, echo);
+        switch (a.kind()) {
+            case FINISHED -> {
+                h.putAll(a.headers());
+                h.put("Switchgap-End", "finished");
+                r.answer(a.status(), h, a.body());
+            }
+            case PUSHED_BACK -> {
+                Map<String, Object> members = new LinkedHashMap<>();
+                members.put("end", "pushed-back");
+                members.put("repeat_harmless", true);
+                if (a.comeBack() != null) {
+                    members.put("come_back_ms", a.comeBack().toMillis());
+                    h.put("Retry-After", String.valueOf((a.comeBack().toMillis() + 999) / 1000));
+                    h.put("Switchgap-Come-Back", String.valueOf(a.comeBack().toMillis()));
+                }
+                problem(r, h, new Problem(503, "pushed-back", "not done; trying again is harmless", members));
+            }
+            default -> problem(r, h, new Problem(504, "killed", "no promise is made about its effect",
+                Map.of("end", "killed", "repeat_harmless", false)));
+        }
+    }
+
+    private static void problem(Request r, Map<String, String> h, Problem p) {
+        h.put("Switchgap-End", p.kind());
+        h.put("Content-Type", Problem.TYPE);
+        r.answer(p.status(), h, p.bytes());
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/list/ListWatch.java
@@ -0,0 +1,132 @@
+package switchgap.list;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import switchgap.router.Core;
+import switchgap.wire.Clock;
+import switchgap.wire.HttpLink;
+
+/**
+ * Follows the list service by a held request that answers in lines. While the service is away, or tells nonsense,
+ * the last good list stays. States: ASKING, FOLLOWING, AWAY (asks again after a pause).
+ */
+public final class ListWatch {
+    private enum State { ASKING, FOLLOWING, AWAY, CLOSED }
+
+    private static final Logger LOG = LoggerFactory.getLogger(ListWatch.class);
+    private static final int MOST_LINE = 16 << 20;
+    private final HttpLink.Opener opener;
+    private final InetSocketAddress service;
+    private final int router;
+    private final long born;
+    private final Duration again;
+    private final ToIntFunction<String> zones;
+    private final ToIntFunction<String> kinds;
+    private final Consumer<Consumer<Core>> events;
+    private State state = State.AWAY;
+    private long version = -1;
+    private HttpLink link;
+
+    /** {@code again}: the pause before asking anew. */
+    public ListWatch(HttpLink.Opener opener, InetSocketAddress service, int router, long born, Duration again,
+                     ToIntFunction<String> zones, ToIntFunction<String> kinds, Consumer<Consumer<Core>> events) {
+        this.opener = opener;
+        this.service = service;
+        this.router = router;
+        this.born = born;
+        this.again = again;
+        this.zones = zones;
+        this.kinds = kinds;
+        this.events = events;
+    }
+
+    public synchronized void follow() {
+        if (state != State.AWAY) { return; }
+        state = State.ASKING;
+        opener.open(service, again.multipliedBy(4), new HttpLink.Opening() {
+            @Override public void open(HttpLink l) {
+                link = l;
+                l.ask("GET", "/v1/workers?watch=1&router=" + router + "&from=" + version, Map.of(), new byte[0],
+                    new Following(l));
+            }
+
+            @Override public void failed(String why) { away(why); }
+        });
+    }
+
+    private synchronized void away(String why) {
+        if (state == State.CLOSED) { return; }
+        if (state != State.AWAY) { LOG.warn("list service away, the last list stays: {}", why); }
+        state = State.AWAY;
+        events.accept(Core::listFailed);
+        Clock.LATER.schedule(this::follow, again.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    public synchronized void close() {
+        state = State.CLOSED;
+        if (link != null) { link.close(); }
+    }
+
+    private final class Following implements HttpLink.Exchange {
+        private final HttpLink on;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+
+        Following(HttpLink on) { this.on = on; }
+
+        @Override public boolean piece(byte[] bytes) {
+            for (byte b : bytes) {
+                if (b == '\n') {
+                    take(line.toString(StandardCharsets.UTF_8));
+                    line.reset();
+                } else if (line.size() < MOST_LINE) {
+                    line.write(b);
+                } else {
+                    LOG.warn("a list line over {} bytes is refused", MOST_LINE);
+                    on.close();
+                    return true;
+                }
+            }
+            return true;
+        }
+
+        private void take(String text) {
+            if (text.isBlank()) { return; }
+            ListLine l;
+            try {
+                l = ListLine.read(text, born, zones, kinds);
+            } catch (IOException e) {
+                LOG.warn("a list was refused, the last one stays: {}", e.getMessage());
+                version = -1; // ask for a whole one
+                on.close();
+                return;
+            }
+            if (!l.whole() && l.version() != version + 1) {
+                LOG.warn("list version {} follows {}: the whole list is asked for", l.version(), version);
+                version = -1;
+                on.close();
+                return;
+            }
+            synchronized (ListWatch.this) {
+                if (state == State.ASKING) { state = State.FOLLOWING; }
+            }
+            version = l.version();
+            events.accept(c -> c.list(l.whole(), l.workers()));
+        }
+
+        @Override public void answered(int status, Map<String, String> headers, byte[] body, boolean reusable) {
+            on.close();
+            away("the service ended its answer with status " + status);
+        }
+
+        @Override public void broken(String why) { away(why); }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/router/Core.java
@@ -0,0 +1,282 @@
+package switchgap.router;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import switchgap.Decide;
+import switchgap.port.Decisions;
+import switchgap.port.End;
+import switchgap.port.Feed;
+import switchgap.port.Standing;
+import switchgap.port.Terms;
+
+/**
+ * One router: owns one {@link Decide}. Its owner calls {@link #round} from one thread with what came in; the event
+ * methods below are for those events only. It decides nothing that the module decides; it only keeps what is
+ * mechanical about the rules: one answer a call, none past its limit, one end an execution.
+ */
+public final class Core {
+    private final Terms terms;
+    private final Outside outside;
+    private final Decide decide;
+    private final Carrier carrier = new Carrier();
+    private final Duration orderLimit;
+    private final Duration probeLimit;
+    private final int mostFunctions;
+    private final Timers timers = new Timers();
+    private final Names functions = new Names();
+    private final Map<String, Seen> seen = new HashMap<>();
+    private final List<Seen> workers = new ArrayList<>();
+    private final List<Integer> freeWorkers = new ArrayList<>();
+    private final List<Call> calls = new ArrayList<>();
+    private final List<Integer> freeCalls = new ArrayList<>();
+    private Duration now = Duration.ZERO;
+    private Feed feed;
+    private int held;
+
+    /** Orders and probes are given up after their limits; at most so many functions are known at a time. */
+    public Core(Terms terms, long seed, Outside outside, Duration orderLimit, Duration probeLimit, int mostFunctions) {
+        this.terms = terms;
+        this.outside = outside;
+        this.orderLimit = orderLimit;
+        this.probeLimit = probeLimit;
+        this.mostFunctions = mostFunctions;
+        this.decide = new Decide(terms, seed);
+    }
+
+    /** One round of the module with all that came in, and what is due. */
+    public void round(Duration at, Iterable<Consumer<Core>> events) {
+        now = at;
+        decide.round(at, f -> {
+            feed = f;
+            events.forEach(e -> e.accept(this));
+            timers.fire(at);
+            feed = null;
+        }, carrier);
+    }
+
+    /** When the next round is due without an event, or null. */
+    public Duration nextDue() {
+        return timers.next();
+    }
+
+    /** Calls held: taken and without their answer. */
+    public int held() {
+        return held;
+    }
+
+    /** Everything that must be none once all is over: calls known to the module and executions out. */
+    public int outstanding() {
+        int n = 0;
+        for (Call c : calls) { n += c == null ? 0 : 1; }
+        return n;
+    }
+
+    /** Workers and functions known. */
+    public int known() {
+        return seen.size() + functions.size();
+    }
+
+    // ------------------------------------------------------------------ events
+
+    /** A call came. Taken: it gets one final answer. Not taken (false): its limit has passed or no room is left. */
+    public boolean callCame(Call c) {
+        if (c.limit.compareTo(now) <= 0 || functions.find(c.function) < 0 && functions.size() >= mostFunctions) {
+            c.state = Call.State.REFUSED;
+            return false;
+        }
+        c.index = freeCalls.isEmpty() ? calls.size() : freeCalls.remove(freeCalls.size() - 1);
+        if (c.index == calls.size()) { calls.add(c); } else { calls.set(c.index, c); }
+        c.taken = now;
+        held++;
+        feed.job(c.index, c.workload, c.customer < 0 ? terms.customers() : c.customer, functions.add(c.function),
+            Names.mark(c.function), c.limit, c.hint, c.memory, c.lanes, c.load, c.repeat);
+        return true;
+    }
+
+    /** The client hung up or asked to leave. */
+    public void clientLeft(Call c) {
+        if (c.state == Call.State.HELD && c.index >= 0) {
+            end(c, Call.State.LEFT);
+            feed.left(c.index);
+        }
+    }
+
+    /**
+     * An execution ended; the first end counts, a later one is a late answer and reaches nobody. An answer that
+     * comes when the limit has passed (a pause) is not passed on: nothing is sent after a limit.
+     */
+    public void executionEnded(Run r, End end, Loads loads, Answer answer) {
+        if (r.ended) { return; }
+        r.ended = true;
+        Call c = r.call;
+        boolean first = end == End.FINISHED && c.state == Call.State.HELD;
+        if (first) { answer(c, answer); }
+        feed.ended(c.index, r.number, r.worker.index, end, now.minus(r.sent), c.state != Call.State.HELD, loads.crowd(),
+            loads.busy(), loads.held(), loads.queued());
+    }
+
+    public void orderEnded(Order o, End end, int standing) {
+        if (o.ended) { return; }
+        o.ended = true;
+        if (known(o.worker)) {
+            feed.orderEnded(o.worker.index, o.function, end, now.minus(o.sent), standing);
+        }
+    }
+
+    public void probed(Order o, End end, Loads loads) {
+        if (o.ended) { return; }
+        o.ended = true;
+        if (known(o.worker)) {
+            feed.probed(o.worker.index, end, now.minus(o.sent), loads.busy(), loads.held(), loads.queued());
+        }
+    }
+
+    /** A version of the list, whole or its changes; a worker with a new address is a new process to the links. */
+    public void list(boolean whole, List<Listed> lines) {
+        feed.listBegins(whole);
+        for (Listed l : lines) {
+            Seen s = seen.get(l.name());
+            if (s == null) {
+                if (l.standing() == Standing.GONE) { continue; }
+                s = new Seen(l.name(), l.host(), l.port(), newWorker());
+                seen.put(l.name(), s);
+                workers.set(s.index, s);
+            } else if (s.port != l.port() || !s.host.equals(l.host())) {
+                Seen moved = new Seen(l.name(), l.host(), l.port(), s.index);
+                seen.put(l.name(), moved);
+                workers.set(s.index, moved);
+                s = moved;
+            }
+            feed.worker(s.index, Names.mark(l.name()), l.standing(), l.zone(), l.cell(), l.kind(), l.size(),
+                l.started());
+        }
+        feed.listEnds();
+    }
+
+    public void listFailed() {
+        feed.listFailed();
+    }
+
+    /** An index may have been handed out again while a probe was out. */
+    private boolean known(Seen w) {
+        Seen s = w.index < 0 ? null : workers.get(w.index);
+        return s != null && s.name.equals(w.name);
+    }
+
+    private int newWorker() {
+        if (!freeWorkers.isEmpty()) { return freeWorkers.remove(freeWorkers.size() - 1); }
+        workers.add(null);
+        return workers.size() - 1;
+    }
+
+    private void end(Call c, Call.State state) {
+        c.state = state;
+        held--;
+    }
+
+    private void answer(Call c, Answer a) {
+        if (now.compareTo(c.limit) >= 0) { // paused past the limit: silence, not a late answer
+            end(c, Call.State.OVERDUE);
+            c.asker.overdue(c);
+        } else {
+            end(c, Call.State.ANSWERED);
+            c.asker.answered(c, a);
+        }
+    }
+
+    // ------------------------------------------------------------------ what the module decides
+
+    /** Carries out decisions in the order they are taken. */
+    private final class Carrier implements Decisions {
+        @Override public void send(int job, int worker, Duration allow) {
+            Call c = calls.get(job);
+            Run r = new Run(c, c.runs.size(), workers.get(worker), now);
+            c.runs.add(r);
+            timers.at(now.plus(allow), () -> {
+                if (!r.ended) {
+                    End end = r.exchange instanceof Unsent u && u.unsent() ? u.end() : End.TIMED_OUT;
+                    outside.abandon(r);
+                    executionEnded(r, end, Loads.UNTOLD, null);
+                }
+            });
+            outside.send(r, allow);
+        }
+
+        @Override public void cancel(int job, int execution) {
+            Run r = calls.get(job).runs.get(execution);
+            if (!r.ended) {
+                outside.abandon(r);
+                timers.at(now, () -> executionEnded(r, End.CANCELLED, Loads.UNTOLD, null));
+            }
+        }
+
+        @Override public void pushBack(int job, Duration comeBack) {
+            answer(job, Answer.pushedBack(comeBack));
+        }
+
+        @Override public void kill(int job) {
+            answer(job, Answer.killed());
+        }
+
+        private void answer(int job, Answer a) {
+            Call c = calls.get(job);
+            if (c.state == Call.State.HELD) { Core.this.answer(c, a); }
+        }
+
+        @Override public void hold(int worker, int function, int copies) {
+            Order o = new Order(workers.get(worker), function, now);
+            timers.at(now.plus(orderLimit), () -> {
+                if (!o.ended) {
+                    outside.abandon(o);
+                    orderEnded(o, End.TIMED_OUT, 0);
+                }
+            });
+            outside.hold(o.worker, functions.name(function), copies, o);
+        }
+
+        @Override public void drop(int worker, int function) {
+            outside.drop(workers.get(worker), functions.name(function));
+        }
+
+        @Override public void probe(int worker) {
+            Order o = new Order(workers.get(worker), -1, now);
+            timers.at(now.plus(probeLimit), () -> {
+                if (!o.ended) {
+                    outside.abandon(o);
+                    probed(o, End.TIMED_OUT, Loads.UNTOLD);
+                }
+            });
+            outside.probe(o.worker, o);
+        }
+
+        @Override public void wake(Duration after, long token) {
+            timers.at(now.plus(after), () -> feed.timer(token));
+        }
+
+        @Override public void askForList() { outside.list(); }
+
+        @Override public void subscribe() { outside.list(); }
+
+        @Override public void note(String text) { outside.note(text); }
+
+        @Override public void forgetJob(int job) {
+            calls.get(job).index = -1;
+            calls.set(job, null);
+            freeCalls.add(job);
+        }
+
+        @Override public void forgetFunction(int function) { functions.release(function); }
+
+        @Override public void forgetWorker(int worker) {
+            Seen s = workers.get(worker);
+            seen.remove(s.name);
+            s.index = -1;
+            workers.set(worker, null);
+            freeWorkers.add(worker);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/router/Order.java
@@ -0,0 +1,19 @@
+package switchgap.router;
+
+import java.time.Duration;
+
+/** An order to a worker, or a probe (no function); it ends once. */
+public final class Order {
+    final Seen worker;
+    final int function;
+    final Duration sent;
+    boolean ended;
+    /** The transport's own. */
+    public volatile Object exchange;
+
+    Order(Seen worker, int function, Duration sent) {
+        this.worker = worker;
+        this.function = function;
+        this.sent = sent;
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/router/Run.java
@@ -0,0 +1,26 @@
+package switchgap.router;
+
+import java.time.Duration;
+
+/** One execution of a call at a worker; it ends once, by whichever comes first of its answer and its time-out. */
+public final class Run {
+    public final Call call;
+    public final int number;
+    public final Seen worker;
+    final Duration sent;
+    boolean ended;
+    /** The transport's own. */
+    public volatile Object exchange;
+
+    Run(Call call, int number, Seen worker, Duration sent) {
+        this.call = call;
+        this.number = number;
+        this.worker = worker;
+        this.sent = sent;
+    }
+
+    /** The execution's name on the wire: the call's id and its number. */
+    public String name() {
+        return call.id + "." + number;
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/router/Seen.java
@@ -0,0 +1,18 @@
+package switchgap.router;
+
+/** A worker of the list, with its address; {@code index} is what the module calls it, -1 once forgotten. */
+public final class Seen {
+    public final String name;
+    public final String host;
+    public final int port;
+    int index;
+    /** The transport's own. */
+    public volatile Object links;
+
+    Seen(String name, String host, int port, int index) {
+        this.name = name;
+        this.host = host;
+        this.port = port;
+        this.index = index;
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/standin/ListService.java
@@ -0,0 +1,123 @@
+package switchgap.standin;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import switchgap.wire.Bounds;
+import switchgap.wire.HttpDoor;
+import switchgap.wire.Net;
+import switchgap.wire.Request;
+
+/** Pushes the list of workers over held requests: the whole list first, then each change, late by a stated span. */
+public final class ListService implements HttpDoor.Desk {
+    /** One line of the list; {@code started} in milliseconds of wall time, 0 where long past. */
+    public record Line(String name, int port, String state, String zone, int cell, String kind, double size, long started) {
+        String json() {
+            return "{\"name\":\"" + name + "\",\"host\":\"127.0.0.1\",\"port\":" + port + ",\"state\":\"" + state
+                + "\",\"zone\":\"" + zone + "\",\"cell\":" + cell + ",\"kind\":\"" + kind + "\",\"size\":" + size
+                + (started == 0 ? "" : ",\"started\":" + started) + "}";
+        }
+    }
+
+    private static final class Watcher {
+        final Request request;
+        final int router;
+        final ArrayDeque<Line> due = new ArrayDeque<>();
+        long version;
+        long busyUntil;
+
+        Watcher(Request request, int router) {
+            this.request = request;
+            this.router = router;
+        }
+    }
+
+    private final Ticker ticker;
+    private final Record record;
+    private final Map<String, Line> lines = new LinkedHashMap<>();
+    private final Map<Request, Watcher> watchers = new LinkedHashMap<>();
+    private final HttpDoor door;
+    private final int port;
+    private long lag;
+    private boolean away;
+
+    /** Changes reach each router after {@code lag} microseconds. */
+    public ListService(Ticker ticker, Net net, Record record, long lag) throws IOException {
+        this.ticker = ticker;
+        this.record = record;
+        this.lag = lag;
+        door = new HttpDoor(net, Bounds.USUAL, this);
+        port = door.listen("127.0.0.1", 0);
+    }
+
+    public int port() { return port; }
+
+    public void lag(long micros) { lag = micros; }
+
+    public Collection<Line> lines() { return List.copyOf(lines.values()); }
+
+    /** Away: held requests end, new ones are cut. */
+    public void away(boolean is) {
+        away = is;
+        if (is) {
+            List.copyOf(watchers.keySet()).forEach(Request::drop);
+            watchers.clear();
+        }
+    }
+
+    /** Changes one line; those who watch hear of it after the lag, in order. */
+    public void put(Line line) {
+        lines.put(line.name(), line);
+        record.line(ticker.now(), "changed", "worker", line.name(), "state", line.state());
+        long now = ticker.now();
+        for (Watcher w : watchers.values()) {
+            w.due.add(line);
+            w.busyUntil = Math.max(w.busyUntil, now + lag);
+            ticker.after(w.busyUntil - now, () -> tell(w));
+        }
+    }
+
+    private void tell(Watcher w) {
+        Line l = w.due.poll();
+        if (l == null || away || !watchers.containsKey(w.request)) { return; }
+        say(w, false, List.of(l));
+    }
+
+    private void say(Watcher w, boolean whole, Collection<Line> these) {
+        StringBuilder s = new StringBuilder("{\"whole\":").append(whole).append(",\"version\":").append(w.version++)
+            .append(",\"workers\":[");
+        String comma = "";
+        for (Line l : these) {
+            s.append(comma).append(l.json());
+            comma = ",";
+        }
+        w.request.piece(s.append("]}\n").toString().getBytes(StandardCharsets.UTF_8));
+        long now = ticker.now();
+        for (Line l : these) { // what was said at this time was learned at this time, or a little later
+            record.line(now, "told", "router", w.router, "worker", l.name(), "state", l.state(), "started",
+                l.started() * 1000);
+        }
+    }
+
+    @Override public void asked(Request r) {
+        ticker.post(() -> {
+            String router = r.asked("router");
+            if (away || router == null || !r.path.equals("/v1/workers")) {
+                r.drop();
+                return;
+            }
+            Watcher w = new Watcher(r, Integer.parseInt(router));
+            watchers.put(r, w);
+            r.begin(200, Map.of("Content-Type", "application/x-ndjson"));
+            record.line(ticker.now(), "watch", "router", w.router);
+            say(w, true, lines.values());
+            watchers.keySet().removeIf(x -> !x.open());
+        });
+    }
+
+    public void close() { door.close(); }
+}
--- /dev/null
+++ b/src/main/java/switchgap/standin/Machine.java
@@ -0,0 +1,373 @@
+package switchgap.standin;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+
+/**
+ * One worker's process without its sockets: cores shared by the jobs that run, copies with lanes, loads, memory,
+ * idle unload, a cold start, and falling over when pushed while cold. All on the ticker's thread.
+ */
+public final class Machine {
+    /** How a request to the machine ended. DROPPED: a repeat known by its fingerprint, answered without running. */
+    public enum Outcome { OK, DROPPED, MISS, FULL, FAILED }
+
+    /**
+     * What a machine is. Memory in MB; slots: jobs in work at a time; queue: waiting beyond; spans in microseconds.
+     * The rules' figures: capacity share when it starts, span until warm, multiple and span of falling over.
+     */
+    public record Make(int cores, double speed, int slots, int queue, double memory, int loadsAtOnce, long keep,
+                       boolean loadsOnMiss, boolean eager, double coldShare, long coldSpan, double fallMultiple,
+                       long fallSpan, double fetchShare, double loadFails) { }
+
+    /** A job in the machine. */
+    final class Work {
+        private final Model model;
+        private final Held held;
+        private final Runnable began;
+        private final BiConsumer<Outcome, Integer> then;
+        private final int crowd;
+        private double left;
+        private boolean waits;
+
+        Work(Model model, Held held, Runnable began, BiConsumer<Outcome, Integer> then) {
+            this.model = model;
+            this.held = held;
+            this.began = began;
+            this.then = then;
+            this.crowd = held.inHand;
+        }
+    }
+
+    /** The copies of one function. */
+    private static final class Held {
+        final Model model;
+        int standing, loading, busy, inHand;
+        long used;
+        final ArrayDeque<Work> waiting = new ArrayDeque<>();
+        final List<Waiter> orders = new ArrayList<>();
+
+        Held(Model model) { this.model = model; }
+
+        boolean idle() { return busy == 0 && waiting.isEmpty(); }
+    }
+
+    private record Waiter(int copies, BiConsumer<Outcome, Integer> then) { }
+
+    private record Heavy(long t, double work) { }
+
+    final Make make;
+    private final Ticker ticker;
+    private final Store store;
+    private final String name;
+    private final SplittableRandom chance;
+    private final Runnable fell;
+    private final Map<String, Held> all = new HashMap<>();
+    private final List<Work> running = new ArrayList<>();
+    private final ArrayDeque<Runnable> loadQueue = new ArrayDeque<>();
+    private final ArrayDeque<Heavy> came = new ArrayDeque<>();
+    private final long started;
+    private final boolean cold;
+    private double cameWork;
+    private double slow = 1;
+    private double memory;
+    private int inHand;
+    private int doingIo;
+    private int loads;
+    private long advanced;
+    private long number;
+    private boolean dead;
+
+    /** A machine that starts now; cold unless it is held to have run for long. */
+    public Machine(Make make, Ticker ticker, Store store, String name, long seed, boolean cold, Runnable fell) {
+        this.make = make;
+        this.ticker = ticker;
+        this.store = store;
+        this.name = name;
+        this.chance = new SplittableRandom(seed);
+        this.cold = cold;
+        this.fell = fell;
+        this.started = ticker.now();
+        this.advanced = started;
+        tidy();
+    }
+
+    public void slow(double times) {
+        advance();
+        slow = times;
+        next();
+    }
+
+    void die() { dead = true; }
+
+    long started() { return started; }
+
+    /** Share of full capacity at a time. */
+    double warmth(long now) {
+        return !cold ? 1 : Math.min(1, make.coldShare + (1 - make.coldShare) * (now - started) / (double) make.coldSpan);
+    }
+
+    int inHand() { return inHand; }
+
+    int waiting() { return inHand - running.size() - doingIo; }
+
+    double busy() { return Math.min(1, running.size() / (double) make.cores); }
+
+    int standing(String function) {
+        Held h = all.get(function);
+        return h == null ? 0 : h.standing;
+    }
+
+    Map<String, Integer> copies() {
+        Map<String, Integer> n = new java.util.TreeMap<>();
+        all.forEach((f, h) -> { if (h.standing > 0) { n.put(f, h.standing); } });
+        return n;
+    }
+
+    /** A copy that stands from the beginning, while there is room. */
+    public void seed(Model m) {
+        if (memory + m.memory() <= make.memory * 0.6) {
+            Held h = all.computeIfAbsent(m.name(), x -> new Held(m));
+            h.standing++;
+            h.used = ticker.now();
+            memory += m.memory();
+        }
+    }
+
+    /** Copies made void: idle ones go, as after a new release of the function. */
+    public void flush(String function) {
+        Held h = all.get(function);
+        if (h != null) { unload(h); }
+    }
+
+    /** Runs a job; the outcome comes with the jobs of the function met. Null when answered at once, else for leave(). */
+    Work infer(Model m, Runnable began, BiConsumer<Outcome, Integer> then) {
+        weigh(m.work());
+        if (dead) { return null; }
+        Held h = all.computeIfAbsent(m.name(), x -> new Held(m));
+        if (inHand >= make.slots + make.queue) {
+            then.accept(Outcome.FULL, h.inHand);
+            return null;
+        }
+        if (h.standing + h.loading == 0 && !(make.loadsOnMiss && load(h))) {
+            then.accept(make.loadsOnMiss ? Outcome.FULL : Outcome.MISS, h.inHand);
+            return null;
+        }
+        Work w = new Work(m, h, began, then);
+        w.left = m.work() * Math.exp(m.spread() * gauss() - m.spread() * m.spread() / 2);
+        h.inHand++;
+        inHand++;
+        h.used = ticker.now();
+        h.waiting.add(w);
+        w.waits = true;
+        if (h.busy >= h.standing * m.lanes() && h.loading == 0 && make.eager) { load(h); }
+        startWaiting(h);
+        return w;
+    }
+
+    /** The asker left: what waits is dropped, what runs goes on. */
+    void leave(Work w) {
+        if (w.waits && w.held.waiting.remove(w)) {
+            w.waits = false;
+            w.held.inHand--;
+            inHand--;
+        }
+    }
+
+    /** Holds at least so many copies; tells how many stand. */
+    void hold(Model m, int copies, BiConsumer<Outcome, Integer> then) {
+        if (dead) { return; }
+        Held h = all.computeIfAbsent(m.name(), x -> new Held(m));
+        h.used = ticker.now();
+        for (int need = copies - h.standing - h.loading; need > 0; need--) {
+            if (!load(h)) {
+                then.accept(Outcome.FULL, h.standing);
+                return;
+            }
+        }
+        if (h.standing >= copies) {
+            then.accept(Outcome.OK, h.standing);
+        } else {
+            h.orders.add(new Waiter(copies, then));
+        }
+    }
+
+    void drop(String function) { flush(function); }
+
+    private double gauss() {
+        return Math.sqrt(-2 * Math.log(1 - chance.nextDouble())) * Math.cos(2 * Math.PI * chance.nextDouble());
+    }
+
+    // ------------------------------------------------------------------ running
+
+    private void startWaiting(Held h) {
+        while (!h.waiting.isEmpty() && h.busy < h.standing * h.model.lanes() && running.size() + doingIo < make.slots) {
+            advance();
+            Work w = h.waiting.poll();
+            w.waits = false;
+            h.busy++;
+            w.began.run();
+            if (w.model.io() > 0) {
+                doingIo++;
+                ticker.after((long) w.model.io(), () -> {
+                    advance();
+                    doingIo--;
+                    running.add(w);
+                    next();
+                });
+            } else {
+                running.add(w);
+            }
+        }
+        next();
+    }
+
+    private double pace(long now) {
+        return running.isEmpty() ? 0
+            : make.speed * warmth(now) * Math.min(1, make.cores / (double) running.size()) / slow;
+    }
+
+    private void advance() {
+        long now = ticker.now();
+        double did = (now - advanced) * pace(now);
+        for (Work w : running) { w.left -= did; }
+        advanced = now;
+    }
+
+    /** Sets the next look at what runs; a later change makes this one void. */
+    private void next() {
+        long mine = ++number;
+        if (running.isEmpty() || dead) { return; }
+        double least = Double.MAX_VALUE;
+        for (Work w : running) { least = Math.min(least, w.left); }
+        long in = (long) Math.ceil(Math.max(0, least) / pace(ticker.now()));
+        ticker.after(Math.min(in, 100_000), () -> {
+            if (mine == number && !dead) {
+                advance();
+                finish();
+            }
+        });
+    }
+
+    private void finish() {
+        List<Work> done = new ArrayList<>();
+        for (Iterator<Work> i = running.iterator(); i.hasNext();) {
+            Work w = i.next();
+            if (w.left <= 1) {
+                i.remove();
+                done.add(w);
+            }
+        }
+        for (Work w : done) {
+            Held h = w.held;
+            h.busy--;
+            h.inHand--;
+            inHand--;
+            h.used = ticker.now();
+            w.then.accept(Outcome.OK, w.crowd);
+            startWaiting(h);
+        }
+        if (!done.isEmpty()) {
+            for (Held h : List.copyOf(all.values())) { if (!h.waiting.isEmpty()) { startWaiting(h); } }
+        }
+        next();
+    }
+
+    // ------------------------------------------------------------------ loads and memory
+
+    private boolean load(Held h) {
+        if (loads >= make.loadsAtOnce && loadQueue.size() >= 2 * make.loadsAtOnce || !room(h.model.memory())) {
+            return false;
+        }
+        memory += h.model.memory();
+        h.loading++;
+        if (loads < make.loadsAtOnce) { begin(h); } else { loadQueue.add(() -> begin(h)); }
+        return true;
+    }
+
+    private boolean room(double mb) {
+        while (memory + mb > make.memory) {
+            Held oldest = null;
+            for (Held h : all.values()) {
+                if (h.standing > 0 && h.idle() && (oldest == null || h.used < oldest.used)) { oldest = h; }
+            }
+            if (oldest == null) { return false; }
+            unload(oldest);
+        }
+        return true;
+    }
+
+    private void unload(Held h) {
+        int idle = h.waiting.isEmpty() ? h.standing - (h.busy + h.model.lanes() - 1) / h.model.lanes() : 0;
+        h.standing -= idle;
+        memory -= idle * h.model.memory();
+    }
+
+    private void begin(Held h) {
+        loads++;
+        long fetch = (long) (h.model.load() * make.fetchShare);
+        store.fetch(name, h.model.name(), fetch, got -> {
+            if (dead) { return; }
+            boolean ok = got && chance.nextDouble() >= make.loadFails;
+            ticker.after(got ? (long) ((h.model.load() - fetch) * slow) : 0, () -> loaded(h, ok));
+        });
+    }
+
+    private void loaded(Held h, boolean ok) {
+        if (dead) { return; }
+        loads--;
+        h.loading--;
+        h.used = ticker.now();
+        if (ok) {
+            h.standing++;
+        } else {
+            memory -= h.model.memory();
+        }
+        for (Waiter w : List.copyOf(h.orders)) {
+            if (h.standing >= w.copies || h.loading == 0) {
+                h.orders.remove(w);
+                w.then.accept(h.standing >= w.copies ? Outcome.OK : Outcome.FAILED, h.standing);
+            }
+        }
+        if (h.standing == 0 && h.loading == 0) { // those who waited for the load are told that it failed
+            for (Work w : List.copyOf(h.waiting)) {
+                leave(w);
+                w.then.accept(Outcome.MISS, w.crowd);
+            }
+        }
+        if (!loadQueue.isEmpty()) { loadQueue.poll().run(); }
+        startWaiting(h);
+    }
+
+    private void tidy() {
+        if (dead) { return; }
+        long now = ticker.now();
+        for (Iterator<Held> i = all.values().iterator(); i.hasNext();) {
+            Held h = i.next();
+            if (now - h.used > make.keep && h.idle()) { unload(h); }
+            if (h.standing + h.loading + h.inHand == 0 && h.orders.isEmpty()) { i.remove(); }
+        }
+        ticker.after(250_000, this::tidy);
+    }
+
+    // ------------------------------------------------------------------ the cold start
+
+    /** Counts work that comes while cold; more than the multiple of what it can do in a span, and it falls over. */
+    private void weigh(double work) {
+        long now = ticker.now();
+        if (!cold || now - started > make.coldSpan) { return; }
+        came.add(new Heavy(now, work));
+        cameWork += work;
+        while (now - came.peek().t > make.fallSpan) { cameWork -= came.poll().work; }
+        double can = make.cores * make.speed * warmth(now) * make.fallSpan * make.fallMultiple;
+        if (cameWork > can && !dead) {
+            dead = true;
+            fell.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/standin/Ticker.java
@@ -0,0 +1,10 @@
+package switchgap.standin;
+
+/** The stand-ins' clock and their one thread: microseconds of wall time, and what runs when. */
+public interface Ticker {
+    long now();
+
+    void after(long micros, Runnable then);
+
+    void post(Runnable then);
+}
--- /dev/null
+++ b/src/main/java/switchgap/terms/PageTerms.java
@@ -0,0 +1,251 @@
+package switchgap.terms;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import switchgap.port.Group;
+import switchgap.port.Repeat;
+import switchgap.port.Terms;
+
+/**
+ * The terms that a page states, with the catalogue of functions, workloads, customers and zones by name. What the
+ * page leaves out is taken as absent (no ration, no prices), never guessed.
+ */
+public final class PageTerms implements Terms {
+    /** A workload as the page states it. */
+    public record Kind(String name, Duration target, Duration limit, double importance, double late, Repeat repeat,
+                       Group group, Duration memory) { }
+
+    /** A function, or all whose names begin alike when the name ends in an asterisk. Memory in MB. */
+    public record Entry(String name, int workload, double memory, int lanes, Duration load, int customer) {
+        boolean fits(String asked) {
+            return name.endsWith("*") ? asked.startsWith(name.substring(0, name.length() - 1)) : name.equals(asked);
+        }
+    }
+
+    private final List<Kind> kinds = new ArrayList<>();
+    private final List<String> zones;
+    private final List<String> machineKinds = new ArrayList<>();
+    private final double[] machineMemory;
+    private final List<String> customers = new ArrayList<>();
+    private final List<Double> rates = new ArrayList<>();
+    private final java.util.Map<String, Entry> named = new java.util.HashMap<>();
+    private final List<Entry> families = new ArrayList<>();
+    private final int self, routers, zone, mostExecutions;
+    private final Duration tick, mostComeBack, coldSpan, fallSpan, keep, loadsSpan, askWithin, grace;
+    private final boolean second, probe, cancel, comeBack, onMiss, order, sizes, asks;
+    private final double coldShare, multiple, free, share, memoryPrice, crossing, overWorth;
+
+    /** Reads the parts {@code router, zones, kinds, workloads, customers, functions, workers, rules, prices}. */
+    public PageTerms(Page p) {
+        zones = p.has("zones") ? p.texts("zones") : List.of("zone");
+        Page r = p.part("router");
+        routers = r.whole("of", 1, 100_000);
+        self = r.whole("number", 0, routers - 1);
+        zone = zoneOf(r, "zone");
+        tick = r.span("tick");
+        if (tick.isZero()) { throw r.wrong("tick", "must be above 0"); }
+        mostExecutions = r.whole("executions", 1, 64, 3);
+        second = r.flag("second_executions", false);
+        probe = r.flag("probes", true);
+        cancel = r.flag("cancels", true);
+        mostComeBack = r.span("most_come_back", Duration.ZERO);
+        comeBack = !mostComeBack.isZero();
+        r.done();
+        Page m = p.partOrNone("kinds");
+        machineMemory = new double[m.keys().size()];
+        for (String k : m.keys()) {
+            Page one = m.part(k);
+            machineMemory[machineKinds.size()] = one.number("memory", 0, 1e9);
+            machineKinds.add(k);
+            one.done();
+        }
+        Page w = p.part("workloads");
+        for (String k : w.keys()) { kinds.add(kind(k, w.part(k))); }
+        if (kinds.isEmpty()) { throw p.wrong("workloads", "names none"); }
+        Page c = p.partOrNone("customers");
+        for (String k : c.keys()) {
+            Page one = c.part(k);
+            customers.add(k);
+            rates.add(one.number("rate", 0, 1e9));
+            one.done();
+        }
+        Page f = p.part("functions");
+        for (String k : f.keys()) { function(k, f.part(k)); }
+        Page x = p.partOrNone("workers");
+        onMiss = x.choice("miss", Miss.class, Miss.ANSWERS) == Miss.LOADS;
+        order = x.flag("orders", true);
+        keep = x.span("keep_alive", Duration.ofSeconds(10));
+        sizes = x.flag("sizes_told", false);
+        asks = x.flag("ask_for_list", false);
+        askWithin = x.span("ask_within", Duration.ofSeconds(10));
+        x.done();
+        Page u = p.partOrNone("rules");
+        grace = u.span("drain_grace", Duration.ofMillis(500));
+        coldShare = u.number("cold_share", 0, 1, 1);
+        coldSpan = u.span("cold_span", Duration.ZERO);
+        multiple = u.number("fall_multiple", 0, 1e6, 3);
+        fallSpan = u.span("fall_span", Duration.ofSeconds(1));
+        free = u.number("loads_free", 0, 1e6, 0);
+        share = u.number("loads_share", 0, 1e6, 0);
+        loadsSpan = u.span("loads_span", Duration.ZERO);
+        u.done();
+        Page prices = p.partOrNone("prices");
+        memoryPrice = prices.number("memory", 0, 1e3, 0);
+        crossing = prices.number("crossing", 0, 1e3, 0);
+        overWorth = prices.number("over_share_worth", 0, 1, 0.2);
+        prices.done();
+    }
+
+    private enum Miss { ANSWERS, LOADS }
+
+    private Kind kind(String name, Page k) {
+        Duration target = k.span("start_target");
+        Duration limit = k.span("time_limit");
+        if (target.isZero()) { throw k.wrong("start_target", "must be above 0"); }
+        if (limit.compareTo(target) < 0) { throw k.wrong("time_limit", "must not be under the start target"); }
+        Repeat repeat = k.choice("repeat", Repeat.class, null);
+        if (repeat == null) { k.text("repeat"); }
+        Duration memory = k.span("memory_span", Duration.ZERO);
+        if (repeat == Repeat.FINGERPRINTED && memory.isZero()) {
+            throw k.wrong("repeat", "a fingerprinted workload needs memory_span, the span for which repeats are known");
+        }
+        Kind kind = new Kind(name, target, limit, k.number("importance", 0, 1e6, 1),
+            k.number("late_share", 0, 1, 0), repeat, k.choice("group", Group.class, Group.ALL), memory);
+        k.done();
+        return kind;
+    }
+
+    private void function(String name, Page f) {
+        int workload = workload(f.text("workload"));
+        if (workload < 0) {
+            throw f.wrong("workload", "'" + f.text("workload") + "' must be one of "
+                + String.join(", ", kinds.stream().map(Kind::name).toList()));
+        }
+        String of = f.text("customer", null);
+        int customer = of == null ? -1 : customers.indexOf(of);
+        if (of != null && customer < 0) {
+            throw f.wrong("customer", "'" + of + "' must be one of " + String.join(", ", customers));
+        }
+        Entry e = new Entry(name, workload, f.number("memory", 0, 1e9), f.whole("lanes", 1, 10_000),
+            f.span("load_time", null), customer);
+        f.done();
+        if (name.endsWith("*")) { families.add(e); } else { named.put(name, e); }
+    }
+
+    private int zoneOf(Page p, String key) {
+        String z = p.text(key, zones.get(0));
+        int i = zones.indexOf(z);
+        if (i < 0) { throw p.wrong(key, "'" + z + "' must be one of " + String.join(", ", zones)); }
+        return i;
+    }
+
+    /** The entry of a function, or null: exact names first, then families in the order of the page. */
+    public Entry function(String name) {
+        Entry e = named.get(name);
+        for (int i = 0; e == null && i < families.size(); i++) {
+            e = families.get(i).fits(name) ? families.get(i) : null;
+        }
+        return e;
+    }
+
+    public Kind kind(int workload) { return kinds.get(workload); }
+
+    /** The index of a workload, or -1. */
+    public int workload(String name) {
+        for (int i = 0; i < kinds.size(); i++) {
+            if (kinds.get(i).name().equals(name)) { return i; }
+        }
+        return -1;
+    }
+
+    public int customer(String name) { return customers.indexOf(name); }
+
+    public String customerName(int customer) { return customers.get(customer); }
+
+    public int zone(String name) { return zones.indexOf(name); }
+
+    public String zoneName(int zone) { return zones.get(zone); }
+
+    /** The index of a kind of worker; one past the known ones where it is not known. */
+    public int machineKind(String name) {
+        int i = machineKinds.indexOf(name);
+        return i < 0 ? machineKinds.size() : i;
+    }
+
+    public Duration drainGrace() { return grace; }
+
+    @Override public int self() { return self; }
+
+    @Override public int routers() { return routers; }
+
+    @Override public int zone() { return zone; }
+
+    @Override public Duration tick() { return tick; }
+
+    @Override public int workloads() { return kinds.size(); }
+
+    @Override public Duration startTarget(int w) { return kinds.get(w).target(); }
+
+    @Override public Duration timeLimit(int w) { return kinds.get(w).limit(); }
+
+    @Override public double importance(int w) { return kinds.get(w).importance(); }
+
+    @Override public double lateShare(int w) { return kinds.get(w).late(); }
+
+    @Override public Repeat repeat(int w) { return kinds.get(w).repeat(); }
+
+    @Override public Group group(int w) { return kinds.get(w).group(); }
+
+    @Override public Duration memorySpan(int w) { return kinds.get(w).memory(); }
+
+    @Override public int customers() { return customers.size(); }
+
+    @Override public double customerRate(int c) { return rates.get(c); }
+
+    @Override public double overShareWorth() { return overWorth; }
+
+    @Override public int mostExecutions() { return mostExecutions; }
+
+    @Override public boolean secondExecutions() { return second; }
+
+    @Override public boolean mayProbe() { return probe; }
+
+    @Override public boolean mayCancel() { return cancel; }
+
+    @Override public boolean tellsComeBack() { return comeBack; }
+
+    @Override public Duration mostComeBack() { return mostComeBack; }
+
+    @Override public double coldShare() { return coldShare; }
+
+    @Override public Duration coldSpan() { return coldSpan; }
+
+    @Override public double fallMultiple() { return multiple; }
+
+    @Override public Duration fallSpan() { return fallSpan; }
+
+    @Override public boolean loadsOnMiss() { return onMiss; }
+
+    @Override public boolean mayOrder() { return order; }
+
+    @Override public Duration keepAlive() { return keep; }
+
+    @Override public double loadsFree() { return free; }
+
+    @Override public double loadsShare() { return share; }
+
+    @Override public Duration loadsSpan() { return loadsSpan; }
+
+    @Override public double memoryPrice() { return memoryPrice; }
+
+    @Override public double[] kindMemory() { return machineMemory.clone(); }
+
+    @Override public double crossingPrice() { return crossing; }
+
+    @Override public boolean sizesTold() { return sizes; }
+
+    @Override public boolean asksForList() { return asks; }
+
+    @Override public Duration askWithin() { return askWithin; }
+}
--- /dev/null
+++ b/src/main/java/switchgap/wire/Bounds.java
@@ -0,0 +1,17 @@
+package switchgap.wire;
+
+import java.time.Duration;
+
+/**
+ * What one door allows.
+ *
+ * @param headerBytes  a request line with its headers, at the most
+ * @param bodyBytes    a body, at the most
+ * @param connections  open at a time; further ones are closed at once
+ * @param idle         a connection without a request may stay this long
+ * @param arrival      a request must have come whole within this span of its first byte
+ */
+public record Bounds(int headerBytes, int bodyBytes, int connections, Duration idle, Duration arrival) {
+    public static final Bounds USUAL = new Bounds(16 << 10, 1 << 20, 20_000, Duration.ofSeconds(75),
+        Duration.ofSeconds(10));
+}
--- /dev/null
+++ b/src/main/java/switchgap/wire/Clock.java
@@ -0,0 +1,18 @@
+package switchgap.wire;
+
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+
+/** One thread for rare timers of the sockets: slow senders, slow connects. */
+public final class Clock {
+    public static final ScheduledThreadPoolExecutor LATER = new ScheduledThreadPoolExecutor(1, r -> {
+        Thread t = new Thread(r, "later");
+        t.setDaemon(true);
+        return t;
+    });
+
+    static {
+        LATER.setRemoveOnCancelPolicy(true);
+    }
+
+    private Clock() { }
+}
--- /dev/null
+++ b/src/main/java/switchgap/wire/HttpLink.java
@@ -0,0 +1,271 @@
+package switchgap.wire;
+
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+
+/** One connection that asks: one exchange at a time, each answer matched to the exchange that is on it. */
+public final class HttpLink {
+    /** What becomes of one exchange: exactly one of answered and broken, unless it was abandoned. */
+    public interface Exchange {
+        void answered(int status, Map<String, String> headers, byte[] body, boolean reusable);
+
+        /** The connection ended or spoke no HTTP. */
+        void broken(String why);
+
+        /** A piece of an answer that comes in pieces; true when it was taken, else pieces are gathered. */
+        default boolean piece(byte[] bytes) {
+            return false;
+        }
+    }
+
+    /** How opening a connection ended. */
+    public interface Opening {
+        void open(HttpLink link);
+
+        void failed(String why);
+    }
+
+    /** Opens links of one kind through one filter chain. */
+    public static final class Opener {
+        private final Net net;
+        private final Attribute<HttpLink> links = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
+            .createAttribute("switchgap.link." + System.identityHashCode(this));
+        private final TCPNIOConnectorHandler connector;
+        private final InetSocketAddress from;
+        private final int bodyBytes;
+
+        /** {@code from} is the local address to ask from, or null for any; answers hold bodyBytes at the most. */
+        public Opener(Net net, String from, int bodyBytes) {
+            this.net = net;
+            this.bodyBytes = bodyBytes;
+            this.from = from == null ? null : new InetSocketAddress(from, 0);
+            this.connector = TCPNIOConnectorHandler.builder(net.transport).processor(FilterChainBuilder.stateless()
+                .add(new TransportFilter()).add(new Unasked()).add(new HttpClientFilter()).add(new Ear()).build())
+                .build();
+        }
+
+        /** Opens a connection; exactly one of the two answers comes, within the span. */
+        public void open(InetSocketAddress to, Duration within, Opening then) {
+            Opening once = once(then);
+            var late = Clock.LATER.schedule(() -> once.failed("no connection within " + within.toMillis() + " ms"),
+                within.toMillis(), TimeUnit.MILLISECONDS);
+            CompletionHandler<Connection> done = new EmptyCompletionHandler<>() {
+                @Override public void completed(Connection c) {
+                    late.cancel(false);
+                    HttpLink link = new HttpLink(c, Opener.this);
+                    links.set(c, link);
+                    once.open(link);
+                }
+
+                @Override public void failed(Throwable t) {
+                    late.cancel(false);
+                    once.failed(String.valueOf(t.getMessage()));
+                }
+
+                @Override public void cancelled() {
+                    late.cancel(false);
+                    once.failed("cancelled");
+                }
+            };
+            connector.connect(to, from, done);
+        }
+
+        private static Opening once(Opening then) {
+            AtomicReference<Opening> left = new AtomicReference<>(then);
+            return new Opening() {
+                @Override public void open(HttpLink link) {
+                    Opening o = left.getAndSet(null);
+                    if (o == null) { link.close(); } else { o.open(link); }
+                }
+
+                @Override public void failed(String why) {
+                    Opening o = left.getAndSet(null);
+                    if (o != null) { o.failed(why); }
+                }
+            };
+        }
+
+        private HttpLink of(FilterChainContext ctx) {
+            return links.get(ctx.getConnection());
+        }
+
+        /**
+         * Guards against bytes that nobody asked for: a second answer to a request must never be read as the
+         * answer to the next one, so a link that speaks while idle ends.
+         */
+        private final class Unasked extends BaseFilter {
+            @Override public NextAction handleRead(FilterChainContext ctx) {
+                HttpLink link = of(ctx);
+                if (link == null || link.now.get() == null) {
+                    if (link != null) { link.surplus = true; }
+                    ctx.getConnection().closeSilently();
+                    return ctx.getStopAction();
+                }
+                return ctx.getInvokeAction();
+            }
+        }
+
+        private final class Ear extends BaseFilter {
+            @Override public NextAction handleRead(FilterChainContext ctx) {
+                HttpLink link = of(ctx);
+                if (link != null) { link.hear(ctx.getMessage()); }
+                return ctx.getStopAction();
+            }
+
+            @Override public NextAction handleClose(FilterChainContext ctx) {
+                HttpLink link = of(ctx);
+                if (link != null) { link.ended("connection ended"); }
+                return ctx.getInvokeAction();
+            }
+
+            @Override public void exceptionOccurred(FilterChainContext ctx, Throwable e) {
+                HttpLink link = of(ctx);
+                ctx.getConnection().closeSilently();
+                if (link != null) { link.ended("unreadable answer: " + e.getMessage()); }
+            }
+        }
+    }
+
+    private final Connection<?> connection;
+    private final Opener opener;
+    private final AtomicReference<Exchange> now = new AtomicReference<>();
+    private ByteArrayOutputStream gathered;
+    private volatile boolean surplus;
+    private volatile Runnable onClose = () -> { };
+    /** Nanoseconds of System.nanoTime at which the last exchange ended. */
+    public volatile long idleSince = System.nanoTime();
+
+    private HttpLink(Connection<?> connection, Opener opener) {
+        this.connection = connection;
+        this.opener = opener;
+    }
+
+    public boolean usable() {
+        return connection.isOpen() && !surplus;
+    }
+
+    /** Whether the other side sent bytes that nobody had asked for. */
+    public boolean spokeUnasked() {
+        return surplus;
+    }
+
+    /** The local address and port. */
+    public InetSocketAddress local() {
+        return (InetSocketAddress) connection.getLocalAddress();
+    }
+
+    public void whenClosed(Runnable then) {
+        onClose = then;
+        if (!connection.isOpen()) { then.run(); }
+    }
+
+    /**
+     * Asks. False when the link is not open or busy: then no byte has gone out. True: bytes may have gone out and
+     * the exchange hears of its end once.
+     */
+    public boolean ask(String method, String path, Map<String, String> headers, byte[] body, Exchange x) {
+        if (!usable() || !now.compareAndSet(null, x)) {
+            return false;
+        }
+        if (!connection.isOpen()) { // closed between the two looks: its end may have been heard already
+            return !now.compareAndSet(x, null);
+        }
+        gathered = null;
+        int q = path.indexOf('?');
+        HttpRequestPacket.Builder head = HttpRequestPacket.builder().method(method)
+            .uri(q < 0 ? path : path.substring(0, q)).protocol("HTTP/1.1").header("Host", "switchgap");
+        if (q >= 0) { head.query(path.substring(q + 1)); }
+        headers.forEach(head::header);
+        head.contentLength(body.length);
+        HttpContent packet = HttpContent.builder(head.build())
+            .content(Buffers.wrap(connection.getMemoryManager(), body)).last(true).build();
+        @SuppressWarnings({"unchecked", "rawtypes"})
+        Connection<Object> c = (Connection) connection;
+        c.write(packet, new EmptyCompletionHandler<>() {
+            @Override public void failed(Throwable t) {
+                connection.closeSilently();
+                ended("write failed: " + t.getMessage());
+            }
+        });
+        return true;
+    }
+
+    /** Forgets the exchange and ends the connection: a late answer reaches nobody. */
+    public void abandon(Exchange x) {
+        if (now.compareAndSet(x, null)) { close(); }
+    }
+
+    public void close() {
+        connection.closeSilently();
+    }
+
+    private void hear(HttpContent part) {
+        Exchange x = now.get();
+        if (x == null) {
+            close();
+            return;
+        }
+        Buffer b = part.getContent();
+        int n = b == null ? 0 : b.remaining();
+        if (n > 0) {
+            byte[] bytes = new byte[n];
+            b.get(bytes);
+            if (!x.piece(bytes)) {
+                if (gathered == null) { gathered = new ByteArrayOutputStream(n); }
+                if (gathered.size() + n > opener.bodyBytes) {
+                    close();
+                    ended("answer larger than " + opener.bodyBytes + " bytes");
+                    return;
+                }
+                gathered.write(bytes, 0, n);
+            }
+        }
+        if (!part.isLast()) {
+            return;
+        }
+        HttpResponsePacket head = (HttpResponsePacket) part.getHttpHeader();
+        boolean keeps = head.getProcessingState().isKeepAlive();
+        Map<String, String> headers = new java.util.HashMap<>();
+        var mime = head.getHeaders();
+        for (int i = 0; i < mime.size(); i++) {
+            headers.put(mime.getName(i).toString().toLowerCase(java.util.Locale.ROOT), mime.getValue(i).toString());
+        }
+        if (head.getContentType() != null) { headers.put("content-type", head.getContentType()); }
+        byte[] body = gathered == null ? new byte[0] : gathered.toByteArray();
+        gathered = null;
+        int status = head.getStatus();
+        part.recycle();
+        if (now.compareAndSet(x, null)) {
+            idleSince = System.nanoTime();
+            if (!keeps) { close(); }
+            x.answered(status, headers, body, keeps && usable());
+        }
+    }
+
+    private void ended(String why) {
+        Exchange x = now.getAndSet(null);
+        if (x != null) { x.broken(why); }
+        onClose.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/wire/Net.java
@@ -0,0 +1,35 @@
+package switchgap.wire;
+
+import java.io.IOException;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.utils.DelayedExecutor;
+
+/** One Grizzly transport with its selector threads and its timers, shared by the doors and links of a program. */
+public final class Net implements AutoCloseable {
+    final TCPNIOTransport transport;
+    final DelayedExecutor timers = org.glassfish.grizzly.utils.IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
+
+    public Net(int selectors, String name) throws IOException {
+        var pool = org.glassfish.grizzly.threadpool.ThreadPoolConfig.defaultConfig().copy()
+            .setPoolName(name).setCorePoolSize(selectors).setMaxPoolSize(selectors).setDaemon(true);
+        transport = TCPNIOTransportBuilder.newInstance()
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorThreadPoolConfig(pool)
+            .setSelectorRunnersCount(selectors)
+            .setTcpNoDelay(true).setKeepAlive(false).setReuseAddress(true).setServerConnectionBackLog(4096)
+            .build();
+        transport.start();
+        timers.start();
+    }
+
+    @Override public void close() {
+        timers.destroy();
+        try {
+            transport.shutdownNow();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/workers/Inference.java
@@ -0,0 +1,186 @@
+package switchgap.workers;
+
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import switchgap.port.End;
+import switchgap.router.Answer;
+import switchgap.router.Core;
+import switchgap.router.Loads;
+import switchgap.router.Order;
+import switchgap.router.Outside;
+import switchgap.router.Run;
+import switchgap.router.Seen;
+import switchgap.wire.HttpLink;
+
+/**
+ * Executions, orders and probes by the Open Inference Protocol (version 2, HTTP) with its model repository
+ * extension and load reports as response headers. What a reply proves, for rule 2: a miss is a 404, a full one a
+ * 429 or 503, each only with {@code named_metrics.executed=0} in its load report; any other reply that is no 2xx may
+ * have run. Docs: docs/router.md.
+ */
+public final class Inference implements Outside {
+    /** Bounds of the links: connections and exchanges waiting for one, each a worker; spans of connect and idling. */
+    public record Links(int connections, int waiting, Duration connectWithin, Duration idle) { }
+
+    private static final Set<String> OWN = Set.of("content-length", "transfer-encoding", "connection", "keep-alive",
+        "date", "server", Orca.HEADER, "x-request-id");
+    private static final byte[] NOTHING = {};
+    private final HttpLink.Opener opener;
+    private final Links bounds;
+    private final Consumer<Consumer<Core>> events;
+    private final Runnable askList;
+    private final Consumer<String> notes;
+    private final Set<Pool> pools = ConcurrentHashMap.newKeySet();
+
+    public Inference(HttpLink.Opener opener, Links bounds, Consumer<Consumer<Core>> events, Runnable askList,
+                     Consumer<String> notes) {
+        this.opener = opener;
+        this.bounds = bounds;
+        this.events = events;
+        this.askList = askList;
+        this.notes = notes;
+    }
+
+    private Pool pool(Seen w) {
+        Pool p = (Pool) w.links;
+        if (p == null) {
+            p = new Pool(opener, new InetSocketAddress(w.host, w.port), bounds.connections(), bounds.waiting(),
+                bounds.connectWithin());
+            w.links = p;
+            pools.add(p);
+        }
+        return p;
+    }
+
+    /** Closes idle links; called now and then. */
+    public void sweep() {
+        pools.forEach(p -> p.sweep(bounds.idle()));
+        pools.removeIf(p -> p.open() == 0 && pools.size() > 4096);
+    }
+
+    public void close() {
+        pools.forEach(Pool::close);
+    }
+
+    private static String model(String function) {
+        return "/v2/models/" + URLEncoder.encode(function, StandardCharsets.UTF_8);
+    }
+
+    private static String repository(String function, String what) {
+        return "/v2/repository/models/" + URLEncoder.encode(function, StandardCharsets.UTF_8) + "/" + what;
+    }
+
+    @Override public void send(Run run, Duration allow) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("X-Request-Id", run.name());
+        if (run.call.contentType != null) { headers.put("Content-Type", run.call.contentType); }
+        if (run.call.fingerprint != null) { headers.put("Idempotency-Key", run.call.fingerprint); }
+        Asked a = new Asked("POST", model(run.call.function) + "/infer", headers, run.call.body) {
+            @Override void unsent(End end, String why) {
+                events.accept(c -> c.executionEnded(run, end, Loads.UNTOLD, null));
+            }
+
+            @Override void replied(int status, Map<String, String> head, byte[] content) {
+                String echo = head.get("x-request-id");
+                if (echo != null && !echo.equals(run.name())) { // the answer to another request: ours may have run
+                    lost("answer to " + echo);
+                    return;
+                }
+                Orca orca = Orca.read(head);
+                End end = proof(status, orca);
+                Answer answer = end == End.FINISHED ? new Answer(Answer.Kind.FINISHED, status, passedOn(head), content,
+                    null) : null;
+                events.accept(c -> c.executionEnded(run, end, orca.loads(), answer));
+            }
+
+            @Override void lost(String why) {
+                events.accept(c -> c.executionEnded(run, End.BROKEN, Loads.UNTOLD, null));
+            }
+        };
+        run.exchange = a;
+        pool(run.worker).ask(a);
+    }
+
+    /** What a reply to an execution means and proves. */
+    static End proof(int status, Orca orca) {
+        boolean notRun = orca.named("executed") == 0;
+        if (status >= 200 && status < 300) { return End.FINISHED; }
+        if (notRun && status == 404) { return End.MISS; }
+        return notRun && (status == 503 || status == 429) ? End.FULL : End.ERROR;
+    }
+
+    private static Map<String, String> passedOn(Map<String, String> head) {
+        Map<String, String> on = new HashMap<>();
+        head.forEach((k, v) -> {
+            if (!OWN.contains(k)) { on.put(k, v); }
+        });
+        return on;
+    }
+
+    @Override public void abandon(Run run) {
+        if (run.exchange instanceof Asked a) { a.abandon(); }
+    }
+
+    @Override public void abandon(Order order) {
+        if (order.exchange instanceof Asked a) { a.abandon(); }
+    }
+
+    /** An exchange of an order or a probe: its end by what came of it. */
+    private abstract class Errand extends Asked {
+        Errand(String method, String path, byte[] content) {
+            super(method, path, content.length == 0 ? Map.of() : Map.of("Content-Type", "application/json"), content);
+        }
+
+        abstract void end(End end, Orca orca);
+
+        @Override void unsent(End end, String why) { end(End.NO_CONNECTION, Orca.read(Map.of())); }
+
+        @Override void replied(int status, Map<String, String> head, byte[] content) {
+            end(status >= 200 && status < 300 ? End.FINISHED : status == 503 || status == 429 ? End.FULL : End.ERROR,
+                Orca.read(head));
+        }
+
+        @Override void lost(String why) { end(End.BROKEN, Orca.read(Map.of())); }
+    }
+
+    @Override public void hold(Seen worker, String function, int copies, Order order) {
+        byte[] content = copies == 0 ? NOTHING
+            : ("{\"parameters\":{\"copies\":" + copies + "}}").getBytes(StandardCharsets.UTF_8);
+        Asked a = new Errand(copies == 0 ? "GET" : "POST",
+            copies == 0 ? model(function) + "/ready" : repository(function, "load"), content) {
+            @Override void end(End end, Orca orca) {
+                double told = orca.named("copies"); // a worker that tells no count: ready means one
+                int standing = Double.isNaN(told) ? end == End.FINISHED ? 1 : 0 : (int) told;
+                events.accept(c -> c.orderEnded(order, end, standing));
+            }
+        };
+        order.exchange = a;
+        pool(worker).ask(a);
+    }
+
+    @Override public void drop(Seen worker, String function) {
+        pool(worker).ask(new Errand("POST", repository(function, "unload"),
+            "{\"parameters\":{\"idle_only\":true}}".getBytes(StandardCharsets.UTF_8)) {
+            @Override void end(End end, Orca orca) { }
+        });
+    }
+
+    @Override public void probe(Seen worker, Order order) {
+        Asked a = new Errand("GET", "/v2/health/ready", NOTHING) {
+            @Override void end(End end, Orca orca) { events.accept(c -> c.probed(order, end, orca.loads())); }
+        };
+        order.exchange = a;
+        pool(worker).ask(a);
+    }
+
+    @Override public void list() { askList.run(); }
+
+    @Override public void note(String text) { notes.accept(text); }
+}
--- /dev/null
+++ b/src/main/java/switchgap/workers/Pool.java
@@ -0,0 +1,156 @@
+package switchgap.workers;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import switchgap.port.End;
+import switchgap.wire.HttpLink;
+
+/**
+ * Kept connections to one worker: opened as needed up to a cap, the last used first, closed when idle. Nothing is
+ * ever sent again by itself: an exchange whose link took bytes and broke is lost, and only one that saw no byte go
+ * out is tried on a further link.
+ */
+final class Pool {
+    private final HttpLink.Opener opener;
+    private final InetSocketAddress address;
+    private final int most;
+    private final int mostWaiting;
+    private final Duration connectWithin;
+    private final ArrayDeque<HttpLink> idle = new ArrayDeque<>();
+    private final ArrayDeque<Asked> waiting = new ArrayDeque<>();
+    private int open;
+    private int opening;
+
+    Pool(HttpLink.Opener opener, InetSocketAddress address, int most, int mostWaiting, Duration connectWithin) {
+        this.opener = opener;
+        this.address = address;
+        this.most = most;
+        this.mostWaiting = mostWaiting;
+        this.connectWithin = connectWithin;
+    }
+
+    synchronized int open() {
+        return open;
+    }
+
+    void ask(Asked a) {
+        a.pool = this;
+        HttpLink link;
+        synchronized (this) {
+            link = takeIdle();
+            if (link == null) {
+                if (waiting.size() >= mostWaiting) {
+                    waiting.removeIf(w -> !w.unsent());
+                }
+                if (waiting.size() < mostWaiting) {
+                    waiting.add(a);
+                    a = null;
+                }
+            }
+        }
+        if (link != null) {
+            put(a, link);
+        } else if (a != null && a.over()) {
+            a.unsent(End.NOT_SENT, "too many wait for a connection");
+        } else {
+            openMore();
+        }
+    }
+
+    private HttpLink takeIdle() {
+        HttpLink l = idle.pollFirst();
+        while (l != null && !l.usable()) { l = idle.pollFirst(); }
+        return l;
+    }
+
+    /** Puts an exchange on a link; a link that took nothing is no loss, the next one is tried. */
+    private void put(Asked a, HttpLink link) {
+        if (!a.go(link)) {
+            back(link);
+        } else if (!link.ask(a.method, a.path, a.headers, a.body, a) && a.back()) {
+            ask(a);
+        }
+    }
+
+    private void openMore() {
+        int more;
+        synchronized (this) {
+            waiting.removeIf(w -> !w.unsent());
+            more = Math.min(waiting.size() - opening, most - open - opening);
+            more = Math.max(0, more);
+            opening += more;
+        }
+        for (int i = 0; i < more; i++) {
+            opener.open(address, connectWithin, new HttpLink.Opening() {
+                @Override public void open(HttpLink link) {
+                    synchronized (Pool.this) {
+                        opening--;
+                        open++;
+                    }
+                    link.whenClosed(() -> closed(link));
+                    back(link);
+                }
+
+                @Override public void failed(String why) {
+                    Asked a;
+                    synchronized (Pool.this) {
+                        opening--;
+                        a = waiting.size() > opening ? next() : null;
+                    }
+                    if (a != null && a.over()) { a.unsent(End.NO_CONNECTION, why); }
+                }
+            });
+        }
+    }
+
+    private final java.util.Set<HttpLink> gone = java.util.Collections.newSetFromMap(new java.util.WeakHashMap<>());
+
+    private void closed(HttpLink link) {
+        boolean more;
+        synchronized (this) {
+            if (!gone.add(link)) { return; }
+            open--;
+            idle.remove(link);
+            more = !waiting.isEmpty();
+        }
+        if (more) { openMore(); }
+    }
+
+    private Asked next() {
+        Asked a = waiting.pollFirst();
+        while (a != null && !a.unsent()) { a = waiting.pollFirst(); }
+        return a;
+    }
+
+    /** A link is free: the next one waiting takes it. */
+    void back(HttpLink link) {
+        Asked a;
+        synchronized (this) {
+            a = next();
+            if (a == null && link.usable()) { idle.addFirst(link); }
+        }
+        if (a != null) { put(a, link); }
+    }
+
+    /** Closes links idle for longer than this. */
+    void sweep(Duration idleFor) {
+        List<HttpLink> old = new ArrayList<>();
+        long now = System.nanoTime();
+        synchronized (this) {
+            while (!idle.isEmpty() && now - idle.peekLast().idleSince > idleFor.toNanos()) { old.add(idle.pollLast()); }
+        }
+        old.forEach(HttpLink::close);
+    }
+
+    void close() {
+        List<HttpLink> all;
+        synchronized (this) {
+            all = List.copyOf(idle);
+            idle.clear();
+        }
+        all.forEach(HttpLink::close);
+    }
+}
