--- a/src/main/java/switchgap/day/Rig.java
+++ b/src/main/java/switchgap/day/Rig.java
@@ -63,6 +63,7 @@
         for (int i = 0; i < day.routers; i++) {
             ports[i] = freePort();
             Path page = dir.resolve("router-" + i + ".yaml");
+            Files.deleteIfExists(dir.resolve("router-" + i + ".log"));
             Files.writeString(page, day.routerPage(i, ports[i], list.port(), catalogue));
             routers.add(day.ownProcesses ? new RouterProcess(page, dir.resolve("router-" + i + ".log"))
                 : new RouterInside(page));
--- a/src/main/java/switchgap/gateway/Gateway.java
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import switchgap.router.Core;
 import switchgap.router.Deferred;
 import switchgap.terms.PageTerms;
+import switchgap.wire.Carriers;
 import switchgap.wire.Clock;
 import switchgap.wire.HttpDoor;
 import switchgap.wire.HttpLink;
@@ -26,6 +27,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private final AtomicReference<State> state = new AtomicReference<>(State.STARTING);
     private final Net net;
+    private final Carriers carriers;
     private final Loop loop;
     private final InvokeApi api;
     private final HttpDoor door;
@@ -37,19 +39,21 @@
 
     public Gateway(GatewayPage page) throws IOException {
         PageTerms terms = page.terms();
-        long bornWall = System.currentTimeMillis();
         net = new Net(page.selectors(), "router-" + terms.self());
+        Rehearsal.run(terms, net);
+        long bornWall = System.currentTimeMillis();
+        carriers = new Carriers(page.selectors(), "carrier-" + terms.self());
         HttpLink.Opener opener = new HttpLink.Opener(net, page.from(), page.answerBytes());
         AtomicReference<Runnable> listening = new AtomicReference<>(() -> { });
         AtomicReference<Inference> made = new AtomicReference<>();
         loop = new Loop(l -> {
-            made.set(new Inference(opener, page.links(), l::post, () -> listening.get().run(), t -> LOG.info("module: {}", t)));
+            made.set(new Inference(opener, page.links(), carriers, l::post, () -> listening.get().run(), t -> LOG.info("module: {}", t)));
             return new Core(terms, page.seed(), made.get(), page.orderLimit(), page.probeLimit(), page.mostFunctions());
         }, "loop-" + terms.self());
         workers = made.get();
         String start = "r" + terms.self() + "-" + Long.toString(bornWall, 36) + "-";
         Deferred deferred = new Deferred(start + "d", page.kept(), page.mostDeferred(), page.mostDeferredBytes());
-        api = new InvokeApi(terms, loop::now, loop::post, deferred, start, page.mostHeld(), page.mostWait());
+        api = new InvokeApi(terms, loop::now, loop::post, carriers, deferred, start, page.mostHeld(), page.mostWait());
         door = new HttpDoor(net, page.bounds(), api);
         watch = page.list() == null ? null : new ListWatch(opener, page.list(), terms.self(), bornWall, page.listAgain(),
             terms::zone, terms::machineKind, loop::post);
@@ -106,7 +110,10 @@
             }
         }
         long[] n = api.ends();
-        LOG.info("stopped: {} finished, {} pushed back, {} killed, {} overdue", n[0], n[1], n[2], n[3]);
+        Histogram late = loop.lateness();
+        LOG.info("stopped: {} finished, {} pushed back, {} killed, {} overdue; loop late by us: p50 {} p99 {} p99.9 {} "
+            + "most {}", n[0], n[1], n[2], n[3], late.getValueAtPercentile(50), late.getValueAtPercentile(99),
+            late.getValueAtPercentile(99.9), late.getMaxValue());
         close();
     }
 
@@ -117,6 +124,7 @@
         door.close();
         loop.stop();
         workers.close();
+        carriers.close();
         net.close();
     }
 }
--- a/src/main/java/switchgap/invoke/Ask.java
+++ b/src/main/java/switchgap/invoke/Ask.java
@@ -8,7 +8,7 @@
 /**
  * What an invoke request asks for, checked against the terms. Headers: {@code Switchgap-Workload},
  * {@code Switchgap-Customer}, {@code Switchgap-Time-Limit} and {@code Switchgap-Cost-Hint} in milliseconds,
- * {@code Switchgap-Call}, {@code Switchgap-Repeat}, {@code Idempotency-Key}, {@code Prefer: respond-async}.
+ * {@code Switchgap-Deadline} in milliseconds of wall time, {@code Switchgap-Call}, {@code Switchgap-Repeat}, {@code Idempotency-Key}, {@code Prefer: respond-async}.
  */
 record Ask(String function, PageTerms.Entry entry, int workload, int customer, Duration limit, Duration hint,
            String fingerprint, String call, boolean repeat, boolean deferred) {
@@ -38,6 +38,7 @@
         Duration limit = millis(r, "Switchgap-Time-Limit", kind.limit());
         if (limit.isZero()) { throw no(400, "limit-past", "the time limit has passed already"); }
         if (limit.compareTo(kind.limit()) > 0) { limit = kind.limit(); }
+        limit = least(limit, r);
         Duration hint = millis(r, "Switchgap-Cost-Hint", null);
         String key = brief(r, "Idempotency-Key");
         if (kind.repeat() == Repeat.FINGERPRINTED && key == null) {
@@ -48,6 +49,22 @@
             "true".equals(r.header("Switchgap-Repeat")), prefer != null && prefer.contains("respond-async"));
     }
 
+    /**
+     * Guards against a request that lay in the socket while the router was paused: a span alone would begin anew
+     * when it is read. The wall clock may only shorten the limit.
+     */
+    private static Duration least(Duration limit, Request r) throws Refused {
+        String v = r.header("Switchgap-Deadline");
+        if (v == null) { return limit; }
+        try {
+            Duration left = Duration.ofMillis(Long.parseLong(v) - System.currentTimeMillis());
+            if (left.isNegative() || left.isZero()) { throw no(400, "limit-past", "the deadline has passed already"); }
+            return left.compareTo(limit) < 0 ? left : limit;
+        } catch (NumberFormatException e) {
+            throw no(400, "malformed-header", "Switchgap-Deadline is no time in milliseconds: " + brief(v));
+        }
+    }
+
     private static String brief(Request r, String header) throws Refused {
         String v = r.header(header);
         if (v != null && v.length() > MOST_KEY) {
--- a/src/main/java/switchgap/invoke/InvokeApi.java
+++ b/src/main/java/switchgap/invoke/InvokeApi.java
@@ -16,6 +16,7 @@
 import switchgap.router.Core;
 import switchgap.router.Deferred;
 import switchgap.terms.PageTerms;
+import switchgap.wire.Carriers;
 import switchgap.wire.Clock;
 import switchgap.wire.HttpDoor;
 import switchgap.wire.Request;
@@ -29,6 +30,7 @@
     private final PageTerms terms;
     private final Supplier<Duration> now;
     private final Consumer<Consumer<Core>> events;
+    private final Carriers carriers;
     private final Deferred deferred;
     private final String prefix;
     private final int mostHeld;
@@ -39,11 +41,12 @@
     private volatile boolean closing;
 
     /** {@code prefix} of call ids: unlike any other start of any router; {@code mostWait} seconds of a held poll. */
-    public InvokeApi(PageTerms terms, Supplier<Duration> now, Consumer<Consumer<Core>> events, Deferred deferred,
-                     String prefix, int mostHeld, int mostWait) {
+    public InvokeApi(PageTerms terms, Supplier<Duration> now, Consumer<Consumer<Core>> events, Carriers carriers,
+                     Deferred deferred, String prefix, int mostHeld, int mostWait) {
         this.terms = terms;
         this.now = now;
         this.events = events;
+        this.carriers = carriers;
         this.deferred = deferred;
         this.prefix = prefix;
         this.mostHeld = mostHeld;
@@ -162,7 +165,14 @@
 
         @Override public void answered(Call c, Answer a) {
             ended(a);
-            reply(r, a, c.id, echo);
+            carriers.carry(c.id.hashCode(), () -> {
+                if (now.get().compareTo(c.limit) < 0) {
+                    reply(r, a, c.id, echo);
+                } else { // paused between the decision and the write: silence, not a late answer
+                    ends[3].incrementAndGet();
+                    r.drop();
+                }
+            });
         }
 
         @Override public void overdue(Call c) {
--- /dev/null
+++ b/src/main/java/switchgap/lab/Load.java
@@ -0,0 +1,122 @@
+package switchgap.lab;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.IntFunction;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import switchgap.wire.HttpLink;
+import switchgap.wire.Net;
+
+/** A load of small calls: closed (so many connections, each asks again at once) or open (so many calls a second). */
+final class Load {
+    /** Calls answered well and otherwise, a second, and microseconds from the time a call was due. */
+    record Result(long good, long bad, double perSecond, Histogram micros) {
+        double quantile(double q) { return micros.getValueAtPercentile(q) / 1000.0; }
+    }
+
+    private static final byte[] BODY = "{\"id\":\"x\",\"inputs\":[{\"name\":\"a\",\"shape\":[4],\"datatype\":\"FP32\",\"data\":[1,2,3,4]}]}"
+        .getBytes(StandardCharsets.US_ASCII);
+    private final HttpLink.Opener opener;
+    private final InetSocketAddress[] to;
+    private final IntFunction<String> path;
+    private final AtomicLong good = new AtomicLong();
+    private final AtomicLong bad = new AtomicLong();
+    private final ConcurrentHistogram micros = new ConcurrentHistogram(60_000_000, 3);
+    private final AtomicLong number = new AtomicLong();
+    private volatile boolean measuring;
+    private volatile boolean over;
+
+    Load(Net net, InetSocketAddress[] to, IntFunction<String> path) {
+        this.opener = new HttpLink.Opener(net, null, 1 << 20);
+        this.to = to;
+        this.path = path;
+    }
+
+    /** So many connections, after a warm-up. */
+    Result closed(int connections, Duration warm, Duration span) throws InterruptedException {
+        CountDownLatch open = new CountDownLatch(connections);
+        for (int i = 0; i < connections; i++) {
+            opener.open(to[i % to.length], Duration.ofSeconds(2), new HttpLink.Opening() {
+                @Override public void open(HttpLink link) {
+                    open.countDown();
+                    again(link);
+                }
+
+                @Override public void failed(String why) { open.countDown(); }
+            });
+        }
+        open.await(5, TimeUnit.SECONDS);
+        return measure(warm, span);
+    }
+
+    private Result measure(Duration warm, Duration span) throws InterruptedException {
+        Thread.sleep(warm.toMillis());
+        good.set(0);
+        bad.set(0);
+        measuring = true;
+        long t = System.nanoTime();
+        Thread.sleep(span.toMillis());
+        measuring = false;
+        double seconds = (System.nanoTime() - t) / 1e9;
+        Result r = new Result(good.get(), bad.get(), (good.get() + bad.get()) / seconds, micros.copy());
+        over = true;
+        return r;
+    }
+
+    private void again(HttpLink link) {
+        if (over) {
+            link.close();
+            return;
+        }
+        ask(link, System.nanoTime(), () -> again(link));
+    }
+
+    private void ask(HttpLink link, long due, Runnable then) {
+        boolean took = link.ask("POST", path.apply((int) number.getAndIncrement()), Map.of("Content-Type", "application/json"),
+            BODY, new HttpLink.Exchange() {
+                @Override public void answered(int status, Map<String, String> h, byte[] body, boolean reusable) {
+                    (status == 200 ? good : bad).incrementAndGet();
+                    if (measuring) { micros.recordValue(Math.min(59_000_000, (System.nanoTime() - due) / 1000)); }
+                    if (reusable) { then.run(); }
+                }
+
+                @Override public void broken(String why) { bad.incrementAndGet(); }
+            });
+        if (!took) { bad.incrementAndGet(); }
+    }
+
+    /** So many calls a second at even distances; latency counts from when a call was due. */
+    Result open(int rate, Duration warm, Duration span) throws InterruptedException {
+        ConcurrentLinkedDeque<HttpLink> idle = new ConcurrentLinkedDeque<>();
+        Thread pacer = new Thread(() -> {
+            long due = System.nanoTime();
+            for (int i = 0; !over; i++) {
+                due += 1_000_000_000L / rate;
+                long wait = due - System.nanoTime();
+                if (wait > 0) { LockSupport.parkNanos(wait); }
+                long mine = due;
+                HttpLink l = idle.poll();
+                if (l != null && l.usable()) {
+                    ask(l, mine, () -> idle.push(l));
+                } else {
+                    opener.open(to[i % to.length], Duration.ofSeconds(2), new HttpLink.Opening() {
+                        @Override public void open(HttpLink link) { ask(link, mine, () -> idle.push(link)); }
+
+                        @Override public void failed(String why) { bad.incrementAndGet(); }
+                    });
+                }
+            }
+        }, "pacer");
+        pacer.setDaemon(true);
+        pacer.start();
+        return measure(warm, span);
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/lab/Speed.java
@@ -0,0 +1,133 @@
+package switchgap.lab;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntFunction;
+import switchgap.wire.Bounds;
+import switchgap.wire.HttpDoor;
+import switchgap.wire.Net;
+import switchgap.wire.Request;
+
+/**
+ * Latency that the router adds, and the most calls it passes, beside a relay of the same filter chains and a direct
+ * call, all on this machine in one run. Workers answer at once: only the way is measured.
+ */
+public final class Speed {
+    private static final int WORKERS = 4;
+    private static final int FUNCTIONS = 16;
+
+    private Speed() { }
+
+    /** Runs the relay in this process; for the child that is measured. */
+    public static void relay(int port, List<Integer> workers) throws IOException {
+        Relay.serve(port, workers.stream().map(p -> new InetSocketAddress("127.0.0.1", p)).toArray(InetSocketAddress[]::new), 3);
+    }
+
+    /** Measures and prints. */
+    public static void run(Duration span, int connections, int rate, PrintStream out) throws IOException, InterruptedException {
+        Path dir = Files.createTempDirectory("switchgap-speed");
+        List<Process> children = new ArrayList<>();
+        try (Net net = new Net(3, "lab")) {
+            int[] ports = new int[WORKERS];
+            for (int i = 0; i < WORKERS; i++) {
+                ports[i] = new HttpDoor(net, Bounds.USUAL, Speed::worker).listen("127.0.0.1", 0);
+            }
+            int relayPort = free();
+            int routerPort = free();
+            Path page = dir.resolve("router.yaml");
+            Files.writeString(page, page(routerPort, ports));
+            children.add(child(dir.resolve("relay.log"), "lab", "relay", "--port", String.valueOf(relayPort), "--workers",
+                String.join(",", java.util.Arrays.stream(ports).mapToObj(String::valueOf).toList())));
+            children.add(child(dir.resolve("router.log"), "router", page.toString()));
+            await(relayPort);
+            await(routerPort);
+            IntFunction<String> invoke = i -> "/v1/functions/f" + i % FUNCTIONS + "/invoke";
+            IntFunction<String> infer = i -> "/v2/models/f" + i % FUNCTIONS + "/infer";
+            InetSocketAddress[] direct = java.util.Arrays.stream(ports).mapToObj(p -> new InetSocketAddress("127.0.0.1", p))
+                .toArray(InetSocketAddress[]::new);
+            InetSocketAddress[] relay = {new InetSocketAddress("127.0.0.1", relayPort)};
+            InetSocketAddress[] router = {new InetSocketAddress("127.0.0.1", routerPort)};
+            Duration warm = Duration.ofSeconds(4);
+            out.printf("closed load, %d connections, %d s each, workers and load on the same machine%n", connections,
+                span.toSeconds());
+            out.printf("%-8s %10s %8s %8s %8s %8s%n", "way", "calls/s", "p50 ms", "p99 ms", "bad", "of relay");
+            Load.Result base = new Load(net, relay, invoke).closed(connections, warm, span);
+            row(out, "relay", base, base);
+            row(out, "router", new Load(net, router, invoke).closed(connections, warm, span), base);
+            row(out, "relay", new Load(net, relay, invoke).closed(connections, warm, span), base);
+            row(out, "router", new Load(net, router, invoke).closed(connections, warm, span), base);
+            out.printf("open load, %d calls a second%n", rate);
+            Load.Result d = new Load(net, direct, infer).open(rate, warm, span);
+            row(out, "direct", d, d);
+            Load.Result y = new Load(net, relay, invoke).open(rate, warm, span);
+            row(out, "relay", y, y);
+            Load.Result r = new Load(net, router, invoke).open(rate, warm, span);
+            row(out, "router", r, y);
+            out.printf("the router adds %.3f ms at p50 and %.3f ms at p99 over a direct call (relay %.3f and %.3f)%n",
+                r.quantile(50) - d.quantile(50), r.quantile(99) - d.quantile(99), y.quantile(50) - d.quantile(50),
+                y.quantile(99) - d.quantile(99));
+        } finally {
+            children.forEach(Process::destroyForcibly);
+        }
+    }
+
+    private static void row(PrintStream out, String way, Load.Result r, Load.Result base) {
+        out.printf("%-8s %10.0f %8.3f %8.3f %8d %8.2f%n", way, r.perSecond(), r.quantile(50), r.quantile(99), r.bad(),
+            r.perSecond() / base.perSecond());
+    }
+
+    private static final byte[] OUTPUT = "{\"id\":\"x\",\"outputs\":[]}".getBytes(StandardCharsets.US_ASCII);
+    private static final Map<String, String> HEAD = Map.of("Content-Type", "application/json", "endpoint-load-metrics",
+        "TEXT cpu_utilization=0.1,named_metrics.inflight=1,named_metrics.crowd=0,named_metrics.copies=1");
+
+    private static void worker(Request r) {
+        r.answer(200, HEAD, OUTPUT);
+    }
+
+    private static int free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return s.getLocalPort();
+        }
+    }
+
+    static Process child(Path log, String... words) throws IOException {
+        List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx1g", "-cp", System.getProperty("java.class.path"), "switchgap.cli.Main"));
+        all.addAll(List.of(words));
+        return new ProcessBuilder(all).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
+    private static void await(int port) throws IOException, InterruptedException {
+        for (int i = 0; i < 500; i++) {
+            try (Socket s = new Socket("127.0.0.1", port)) {
+                return;
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+        throw new IOException("nothing listens at " + port);
+    }
+
+    private static String page(int port, int[] workers) {
+        StringBuilder s = new StringBuilder("router: {number: 0, of: 1, tick: 5ms, executions: 3}\n"
+            + "workloads:\n  w: {start_target: 400ms, time_limit: 2500ms, repeat: restartable}\n"
+            + "functions:\n  f*: {workload: w, memory: 1, lanes: 1000}\n"
+            + "kinds: {k: {memory: 100000}}\n"
+            + "holds: {calls: 50000}\nlinks: {connections: 256}\n"
+            + "listen: {port: " + port + ", selectors: 3}\nlist:\n  workers:\n");
+        for (int i = 0; i < workers.length; i++) {
+            s.append("    - {name: w").append(i).append(", port: ").append(workers[i]).append(", kind: k}\n");
+        }
+        return s.toString();
+    }
+}
--- a/src/main/java/switchgap/router/Core.java
+++ b/src/main/java/switchgap/router/Core.java
@@ -112,6 +112,7 @@
     public void executionEnded(Run r, End end, Loads loads, Answer answer) {
         if (r.ended) { return; }
         r.ended = true;
+        timers.stop(r.timer);
         Call c = r.call;
         boolean first = end == End.FINISHED && c.state == Call.State.HELD;
         if (first) { answer(c, answer); }
@@ -122,6 +123,7 @@
     public void orderEnded(Order o, End end, int standing) {
         if (o.ended) { return; }
         o.ended = true;
+        timers.stop(o.timer);
         if (known(o.worker)) {
             feed.orderEnded(o.worker.index, o.function, end, now.minus(o.sent), standing);
         }
@@ -130,6 +132,7 @@
     public void probed(Order o, End end, Loads loads) {
         if (o.ended) { return; }
         o.ended = true;
+        timers.stop(o.timer);
         if (known(o.worker)) {
             feed.probed(o.worker.index, end, now.minus(o.sent), loads.busy(), loads.held(), loads.queued());
         }
@@ -196,7 +199,7 @@
             Call c = calls.get(job);
             Run r = new Run(c, c.runs.size(), workers.get(worker), now);
             c.runs.add(r);
-            timers.at(now.plus(allow), () -> {
+            r.timer = timers.at(now.plus(allow), () -> {
                 if (!r.ended) {
                     End end = r.exchange instanceof Unsent u && u.unsent() ? u.end() : End.TIMED_OUT;
                     outside.abandon(r);
@@ -229,7 +232,7 @@
 
         @Override public void hold(int worker, int function, int copies) {
             Order o = new Order(workers.get(worker), function, now);
-            timers.at(now.plus(orderLimit), () -> {
+            o.timer = timers.at(now.plus(orderLimit), () -> {
                 if (!o.ended) {
                     outside.abandon(o);
                     orderEnded(o, End.TIMED_OUT, 0);
@@ -244,7 +247,7 @@
 
         @Override public void probe(int worker) {
             Order o = new Order(workers.get(worker), -1, now);
-            timers.at(now.plus(probeLimit), () -> {
+            o.timer = timers.at(now.plus(probeLimit), () -> {
                 if (!o.ended) {
                     outside.abandon(o);
                     probed(o, End.TIMED_OUT, Loads.UNTOLD);
--- a/src/main/java/switchgap/router/Order.java
+++ b/src/main/java/switchgap/router/Order.java
@@ -8,6 +8,7 @@
     final int function;
     final Duration sent;
     boolean ended;
+    Timers.Timer timer;
     /** The transport's own. */
     public volatile Object exchange;
 
--- a/src/main/java/switchgap/workers/Asked.java
+++ b/src/main/java/switchgap/workers/Asked.java
@@ -18,6 +18,7 @@
     final byte[] body;
     private State state = State.WAITING;
     private HttpLink link;
+    private long expires = Long.MAX_VALUE;
     Pool pool;
 
     Asked(String method, String path, Map<String, String> headers, byte[] body) {
@@ -35,8 +36,13 @@
     /** Ended after bytes may have been sent. */
     abstract void lost(String why);
 
+    /** Guards against a pause: what waited past this System.nanoTime is not sent any more. */
+    final synchronized void expiresAt(long nanos) {
+        expires = nanos;
+    }
+
     final synchronized boolean go(HttpLink to) {
-        if (state != State.WAITING) { return false; }
+        if (state != State.WAITING || expires != Long.MAX_VALUE && System.nanoTime() - expires >= 0) { return false; }
         state = State.OUT;
         link = to;
         return true;
--- a/src/main/java/switchgap/workers/Inference.java
+++ b/src/main/java/switchgap/workers/Inference.java
@@ -17,6 +17,7 @@
 import switchgap.router.Outside;
 import switchgap.router.Run;
 import switchgap.router.Seen;
+import switchgap.wire.Carriers;
 import switchgap.wire.HttpLink;
 
 /**
@@ -34,15 +35,17 @@
     private static final byte[] NOTHING = {};
     private final HttpLink.Opener opener;
     private final Links bounds;
+    private final Carriers carriers;
     private final Consumer<Consumer<Core>> events;
     private final Runnable askList;
     private final Consumer<String> notes;
     private final Set<Pool> pools = ConcurrentHashMap.newKeySet();
 
-    public Inference(HttpLink.Opener opener, Links bounds, Consumer<Consumer<Core>> events, Runnable askList,
-                     Consumer<String> notes) {
+    public Inference(HttpLink.Opener opener, Links bounds, Carriers carriers, Consumer<Consumer<Core>> events,
+                     Runnable askList, Consumer<String> notes) {
         this.opener = opener;
         this.bounds = bounds;
+        this.carriers = carriers;
         this.events = events;
         this.askList = askList;
         this.notes = notes;
@@ -105,7 +108,9 @@
             }
         };
         run.exchange = a;
-        pool(run.worker).ask(a);
+        a.expiresAt(System.nanoTime() + allow.toNanos());
+        Pool p = pool(run.worker);
+        carriers.carry(run.worker.port, () -> p.ask(a));
     }
 
     /** What a reply to an execution means and proves. */
