--- a/src/main/java/switchgap/cli/Commands.java
+++ b/src/main/java/switchgap/cli/Commands.java
@@ -55,13 +55,16 @@
         @Option(names = "--check", description = "read the page, say what is wrong, start nothing")
         boolean check;
 
+        @Option(names = "--baseline", hidden = true, description = "random or turns, in place of the module: to measure")
+        String baseline;
+
         @Override public Integer call() throws Exception {
             GatewayPage p = GatewayPage.read(page);
             if (check) {
                 System.out.println(page + ": good");
                 return 0;
             }
-            Gateway g = new Gateway(p);
+            Gateway g = baseline == null ? new Gateway(p) : switchgap.lab.BaselineRouter.start(page, baseline);
             CountDownLatch ended = new CountDownLatch(1);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 g.stop();
@@ -90,8 +93,11 @@
         @Option(names = "--record", paramLabel = "DIR", required = true, description = "where the logs go")
         Path dir;
 
+        @Option(names = "--baseline", description = "random or turns in place of the module, to measure against")
+        String baseline;
+
         @Override public Integer call() throws Exception {
-            DayRun.play(file, dir, System.out);
+            DayRun.play(file, dir, baseline, System.out);
             return 0;
         }
     }
--- a/src/main/java/switchgap/day/Day.java
+++ b/src/main/java/switchgap/day/Day.java
@@ -94,7 +94,7 @@
         Page r = p.part("routers");
         routers = r.whole("count", 1, 250);
         busiest = r.number("busiest", 0, 1, 1.0 / routers);
-        ownProcesses = r.choice("processes", List.of("own", "one")).equals("own");
+        ownProcesses = !r.has("processes") || r.choice("processes", List.of("own", "one")).equals("own");
         executions = r.whole("executions", 1, 64, 3);
         r.text("most_come_back", "1s");
         r.flag("second_executions", false);
--- a/src/main/java/switchgap/day/DayCheck.java
+++ b/src/main/java/switchgap/day/DayCheck.java
@@ -26,6 +26,7 @@
     public record Violation(Rule rule, String what) { }
 
     private static final int MOST_SHOWN = 20;
+    private static final long NEVER = Long.MAX_VALUE / 2; // spans are added to it
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private static final class Try {
@@ -115,8 +116,8 @@
         for (Line l : lines) {
             int r = l.whole("router");
             switch (l.text("what")) {
-                case "router-killed" -> away.get(r).add(new long[] {l.t(), Long.MAX_VALUE});
-                case "router-paused" -> pauses.get(r).add(new long[] {l.t(), Long.MAX_VALUE});
+                case "router-killed" -> away.get(r).add(new long[] {l.t(), NEVER});
+                case "router-paused" -> pauses.get(r).add(new long[] {l.t(), NEVER});
                 case "router-resumed" -> pauses.get(r).get(pauses.get(r).size() - 1)[1] = l.t();
                 case "router-started" -> away.get(r).get(away.get(r).size() - 1)[1] = l.t();
                 default -> { }
--- a/src/main/java/switchgap/day/DayRun.java
+++ b/src/main/java/switchgap/day/DayRun.java
@@ -10,12 +10,12 @@
 public final class DayRun {
     private DayRun() { }
 
-    /** Plays it and leaves its logs and the day itself in the folder; prints what came of it. */
-    public static void play(Path file, Path dir, PrintStream out) throws IOException, InterruptedException {
+    /** Plays it, under the module or a baseline (random, turns), and leaves its logs and the day itself in the folder; prints what came of it. */
+    public static void play(Path file, Path dir, String baseline, PrintStream out) throws IOException, InterruptedException {
         Day day = Day.read(file);
         Files.createDirectories(dir);
         Files.copy(file, dir.resolve("day.yaml"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
-        try (Rig rig = new Rig(day, dir)) {
+        try (Rig rig = new Rig(day, dir, baseline)) {
             Thread.sleep(500);
             long end = rig.ticker.now() + day.length;
             rig.scriptLog.line(rig.ticker.now(), "began", "day", day.name);
--- a/src/main/java/switchgap/day/Demo.java
+++ b/src/main/java/switchgap/day/Demo.java
@@ -20,7 +20,7 @@
         }
         out.println("a router and its stand-ins on loopback ports; logs in " + dir);
         if (keep) {
-            try (Rig rig = new Rig(Day.read(file), dir)) {
+            try (Rig rig = new Rig(Day.read(file), dir, null)) {
                 rig.ticker.post(() -> rig.clients.start(Long.MAX_VALUE));
                 for (int i = 0; i < rig.routers.size(); i++) {
                     out.println("router " + i + ": switchgap call status-refresh-0 --router http://127.0.0.1:" + rig.port(i));
@@ -28,7 +28,7 @@
                 Thread.currentThread().join();
             }
         }
-        DayRun.play(file, dir, out);
+        DayRun.play(file, dir, null, out);
         DayCheck check = DayCheck.read(dir);
         check.print(out);
         return check.violations().isEmpty() ? 0 : 1;
--- a/src/main/java/switchgap/day/Rig.java
+++ b/src/main/java/switchgap/day/Rig.java
@@ -42,7 +42,7 @@
     private final int[] ports;
     private int next;
 
-    Rig(Day day, Path dir) throws IOException {
+    Rig(Day day, Path dir, String baseline) throws IOException {
         this.day = day;
         this.dir = Files.createDirectories(dir);
         chance = new SplittableRandom(day.seed);
@@ -65,7 +65,7 @@
             Path page = dir.resolve("router-" + i + ".yaml");
             Files.deleteIfExists(dir.resolve("router-" + i + ".log"));
             Files.writeString(page, day.routerPage(i, ports[i], list.port(), catalogue));
-            routers.add(day.ownProcesses ? new RouterProcess(page, dir.resolve("router-" + i + ".log"))
+            routers.add(day.ownProcesses ? new RouterProcess(page, dir.resolve("router-" + i + ".log"), baseline)
                 : new RouterInside(page));
             routers.get(i).start();
             clients.router(i, ports[i], day.zones.get(day.zoneOf(i)));
--- a/src/main/java/switchgap/day/RouterProcess.java
+++ b/src/main/java/switchgap/day/RouterProcess.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -10,17 +11,21 @@
 final class RouterProcess implements RouterHost {
     private final Path page;
     private final Path log;
+    private final String baseline;
     private Process process;
 
-    RouterProcess(Path page, Path log) {
+    RouterProcess(Path page, Path log, String baseline) {
+        this.baseline = baseline;
         this.page = page;
         this.log = log;
     }
 
     @Override public void start() throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        process = new ProcessBuilder(List.of(java, "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
-            System.getProperty("java.class.path"), "switchgap.cli.Main", "router", page.toString()))
+        List<String> words = new ArrayList<>(List.of(java, "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-cp", System.getProperty("java.class.path"), "switchgap.cli.Main", "router", page.toString()));
+        if (baseline != null) { words.addAll(List.of("--baseline", baseline)); }
+        process = new ProcessBuilder(words)
             .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString()))).start();
     }
 
--- a/src/main/java/switchgap/gateway/Gateway.java
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import switchgap.Decide;
 import switchgap.invoke.InvokeApi;
 import switchgap.list.ListWatch;
 import switchgap.router.Core;
@@ -38,6 +39,11 @@
     private final int port;
 
     public Gateway(GatewayPage page) throws IOException {
+        this(page, new Decide(page.terms(), page.seed())::round);
+    }
+
+    /** A router under another decider: for measurements of the module beside a baseline. */
+    public Gateway(GatewayPage page, Core.Decider decide) throws IOException {
         PageTerms terms = page.terms();
         net = new Net(page.selectors(), "router-" + terms.self());
         Rehearsal.run(terms, net);
@@ -48,7 +54,7 @@
         AtomicReference<Inference> made = new AtomicReference<>();
         loop = new Loop(l -> {
             made.set(new Inference(opener, page.links(), carriers, l::post, () -> listening.get().run(), t -> LOG.info("module: {}", t)));
-            return new Core(terms, page.seed(), made.get(), page.orderLimit(), page.probeLimit(), page.mostFunctions());
+            return new Core(terms, decide, made.get(), page.orderLimit(), page.probeLimit(), page.mostFunctions());
         }, "loop-" + terms.self());
         workers = made.get();
         String start = "r" + terms.self() + "-" + Long.toString(bornWall, 36) + "-";
--- /dev/null
+++ b/src/main/java/switchgap/lab/Baseline.java
@@ -0,0 +1,183 @@
+package switchgap.lab;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import switchgap.port.Decisions;
+import switchgap.port.End;
+import switchgap.port.Feed;
+import switchgap.port.Incoming;
+import switchgap.port.Repeat;
+import switchgap.port.Standing;
+import switchgap.port.Terms;
+import switchgap.router.Core;
+
+/**
+ * Textbook choices to measure the module against: any ready worker by chance, or each in turn. A miss has the copy
+ * loaded there and the job waits for it; what may run again does, elsewhere; the rest is given up as the rules ask.
+ */
+final class Baseline implements Core.Decider, Feed {
+    private static final class Held {
+        final int workload;
+        final int function;
+        final Duration limit;
+        int executions, out, mayHaveRun;
+        boolean closed;
+
+        Held(int workload, int function, Duration limit) {
+            this.workload = workload;
+            this.function = function;
+            this.limit = limit;
+        }
+    }
+
+    private final Terms terms;
+    private final boolean turns;
+    private final SplittableRandom chance;
+    private final Duration margin;
+    private final List<Integer> ready = new ArrayList<>();
+    private final Map<Integer, Standing> standing = new HashMap<>();
+    private final Map<Integer, Held> held = new HashMap<>();
+    private final Map<Long, List<Integer>> loading = new HashMap<>();
+    private final Map<Integer, Integer> flying = new HashMap<>();
+    private Duration now = Duration.ZERO;
+    private Decisions out;
+    private int turn;
+
+    Baseline(Terms terms, boolean turns, long seed) {
+        this.terms = terms;
+        this.turns = turns;
+        this.chance = new SplittableRandom(seed);
+        this.margin = terms.tick().multipliedBy(2);
+    }
+
+    @Override public void round(Duration at, Incoming in, Decisions to) {
+        now = at;
+        out = to;
+        in.into(this);
+        List<Integer> due = new ArrayList<>();
+        held.forEach((j, h) -> {
+            if (!h.closed && h.out == 0 && now.plus(margin.multipliedBy(2)).compareTo(h.limit) >= 0) { due.add(j); }
+        });
+        due.forEach(j -> giveUp(j, held.get(j)));
+        out.wake(margin, 0);
+    }
+
+    private void place(int job, Held h) {
+        if (h.closed) { return; }
+        if (ready.isEmpty() || h.executions >= terms.mostExecutions() || now.plus(margin).compareTo(h.limit) >= 0) {
+            giveUp(job, h);
+            return;
+        }
+        send(job, h, ready.get(turns ? turn++ % ready.size() : chance.nextInt(ready.size())));
+    }
+
+    private void send(int job, Held h, int worker) {
+        h.executions++;
+        h.out++;
+        flying.merge(worker, 1, Integer::sum);
+        out.send(job, worker, h.limit.minus(now).minus(margin));
+    }
+
+    private void giveUp(int job, Held h) {
+        if (h.closed) { return; }
+        h.closed = true;
+        if (terms.repeat(h.workload) == Repeat.RESTARTABLE || h.mayHaveRun + h.out == 0) {
+            out.pushBack(job, null);
+        } else {
+            out.kill(job);
+        }
+        settle(job, h);
+    }
+
+    private void settle(int job, Held h) {
+        if (h.closed && h.out == 0 && held.remove(job) != null) { out.forgetJob(job); }
+    }
+
+    @Override public void listBegins(boolean whole) {
+        if (whole) { standing.replaceAll((w, s) -> Standing.GONE); }
+    }
+
+    @Override public void worker(int worker, long mark, Standing s, int zone, int cell, int kind, double size,
+                                 Duration started) {
+        standing.put(worker, s);
+    }
+
+    @Override public void listEnds() {
+        ready.clear();
+        standing.forEach((w, s) -> { if (s == Standing.READY) { ready.add(w); } });
+        List<Integer> gone = new ArrayList<>();
+        standing.forEach((w, s) -> {
+            if (s == Standing.GONE && flying.getOrDefault(w, 0) == 0
+                && loading.keySet().stream().noneMatch(k -> (int) (k >> 32) == w)) { gone.add(w); }
+        });
+        gone.forEach(w -> {
+            standing.remove(w);
+            out.forgetWorker(w);
+        });
+    }
+
+    @Override public void listFailed() { }
+
+    @Override public void job(int job, int workload, int customer, int function, long mark, Duration limit, Duration hint,
+                              double memory, int lanes, Duration load, boolean repeat) {
+        Held h = new Held(workload, function, limit);
+        held.put(job, h);
+        place(job, h);
+    }
+
+    @Override public void streamBegan(int job, int execution) { }
+
+    @Override public void ended(int job, int execution, int worker, End end, Duration took, boolean closed, int crowd,
+                                double busy, double atWork, double queued) {
+        Held h = held.get(job);
+        h.out--;
+        flying.merge(worker, -1, Integer::sum);
+        h.mayHaveRun += end.neverRan ? 0 : 1;
+        h.closed |= closed;
+        if (!h.closed && end == End.MISS && standing.get(worker) == Standing.READY) {
+            long key = (long) worker << 32 | h.function;
+            List<Integer> wait = loading.get(key);
+            if (wait == null) {
+                loading.put(key, wait = new ArrayList<>());
+                out.hold(worker, h.function, 1);
+            }
+            wait.add(job);
+        } else if (!h.closed) {
+            if (h.mayHaveRun == 0 || terms.repeat(h.workload) == Repeat.RESTARTABLE) {
+                place(job, h);
+            } else {
+                giveUp(job, h);
+            }
+        }
+        settle(job, h);
+    }
+
+    @Override public void orderEnded(int worker, int function, End end, Duration took, int copies) {
+        List<Integer> wait = loading.remove((long) worker << 32 | function);
+        if (wait == null) { return; }
+        for (int job : wait) {
+            Held h = held.get(job);
+            if (h == null || h.closed) { continue; }
+            if (copies > 0 && standing.get(worker) == Standing.READY && h.executions < terms.mostExecutions()
+                && now.plus(margin).compareTo(h.limit) < 0) {
+                send(job, h, worker);
+            } else {
+                place(job, h);
+            }
+        }
+    }
+
+    @Override public void left(int job) {
+        Held h = held.get(job);
+        h.closed = true;
+        settle(job, h);
+    }
+
+    @Override public void timer(long token) { }
+
+    @Override public void probed(int worker, End end, Duration took, double busy, double atWork, double queued) { }
+}
--- a/src/main/java/switchgap/router/Core.java
+++ b/src/main/java/switchgap/router/Core.java
@@ -10,6 +10,7 @@
 import switchgap.port.Decisions;
 import switchgap.port.End;
 import switchgap.port.Feed;
+import switchgap.port.Incoming;
 import switchgap.port.Standing;
 import switchgap.port.Terms;
 
@@ -21,7 +22,7 @@
 public final class Core {
     private final Terms terms;
     private final Outside outside;
-    private final Decide decide;
+    private final Decider decide;
     private final Carrier carrier = new Carrier();
     private final Duration orderLimit;
     private final Duration probeLimit;
@@ -37,14 +38,25 @@
     private Feed feed;
     private int held;
 
-    /** Orders and probes are given up after their limits; at most so many functions are known at a time. */
+    /** What decides: the module, or in measurements a baseline. */
+    public interface Decider {
+        void round(Duration now, Incoming in, Decisions out);
+    }
+
+    /** A core under the module. Orders and probes are given up after their limits. */
     public Core(Terms terms, long seed, Outside outside, Duration orderLimit, Duration probeLimit, int mostFunctions) {
+        this(terms, new Decide(terms, seed)::round, outside, orderLimit, probeLimit, mostFunctions);
+    }
+
+    /** At most so many functions are known at a time. */
+    public Core(Terms terms, Decider decide, Outside outside, Duration orderLimit, Duration probeLimit,
+                int mostFunctions) {
         this.terms = terms;
         this.outside = outside;
         this.orderLimit = orderLimit;
         this.probeLimit = probeLimit;
         this.mostFunctions = mostFunctions;
-        this.decide = new Decide(terms, seed);
+        this.decide = decide;
     }
 
     /** One round of the module with all that came in, and what is due. */
--- a/src/main/java/switchgap/terms/PageTerms.java
+++ b/src/main/java/switchgap/terms/PageTerms.java
@@ -83,9 +83,11 @@
         Page u = p.partOrNone("rules");
         grace = u.span("drain_grace", Duration.ofMillis(500));
         coldShare = u.number("cold_share", 0, 1, 1);
-        coldSpan = u.span("cold_span", Duration.ZERO);
+        coldSpan = u.span("cold_span", Duration.ofMillis(1)); // none stated: warm from the first moment
+        if (coldSpan.isZero()) { throw u.wrong("cold_span", "must be above 0; leave it out where nothing is cold"); }
         multiple = u.number("fall_multiple", 0, 1e6, 3);
         fallSpan = u.span("fall_span", Duration.ofSeconds(1));
+        if (fallSpan.isZero()) { throw u.wrong("fall_span", "must be above 0"); }
         free = u.number("loads_free", 0, 1e6, 0);
         share = u.number("loads_share", 0, 1e6, 0);
         loadsSpan = u.span("loads_span", Duration.ZERO);
--- a/src/main/java/switchgap/wire/HttpLink.java
+++ b/src/main/java/switchgap/wire/HttpLink.java
@@ -9,8 +9,10 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Context;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEventLifeCycleListener;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -129,7 +131,9 @@
         private final class Ear extends BaseFilter {
             @Override public NextAction handleRead(FilterChainContext ctx) {
                 HttpLink link = of(ctx);
-                if (link != null) { link.hear(ctx.getMessage()); }
+                if (link != null && link.hear(ctx.getMessage())) {
+                    ctx.getInternalContext().addLifeCycleListener(new Whole(link));
+                }
                 return ctx.getStopAction();
             }
 
@@ -147,8 +151,31 @@
         }
     }
 
+    /**
+     * Hands an answer over once all that was read with it has been looked at. Guards against a second answer in the
+     * same bytes: the link must not be free for the next exchange before those are seen.
+     */
+    private static final class Whole extends IOEventLifeCycleListener.Adapter {
+        private final HttpLink link;
+
+        Whole(HttpLink link) { this.link = link; }
+
+        @Override public void onComplete(Context c, Object data) { link.hand(); }
+
+        @Override public void onReregister(Context c) { link.hand(); }
+
+        @Override public void onError(Context c, Object e) { link.hand(); }
+
+        @Override public void onTerminate(Context c) { link.hand(); }
+
+        @Override public void onNotRun(Context c) { link.hand(); }
+
+        @Override public void onLeave(Context c) { link.hand(); }
+    }
+
     private final Connection<?> connection;
     private final Opener opener;
+    private volatile Runnable whole;
     private final AtomicReference<Exchange> now = new AtomicReference<>();
     private ByteArrayOutputStream gathered;
     private volatile boolean surplus;
@@ -220,11 +247,19 @@
         connection.closeSilently();
     }
 
-    private void hear(HttpContent part) {
+    private void hand() {
+        Runnable r = whole;
+        whole = null;
+        if (r != null) { r.run(); }
+    }
+
+    /** Takes a part of an answer in; true when it was the last one. */
+    private boolean hear(HttpContent part) {
         Exchange x = now.get();
-        if (x == null) {
+        if (x == null || whole != null) {
+            surplus = true;
             close();
-            return;
+            return false;
         }
         Buffer b = part.getContent();
         int n = b == null ? 0 : b.remaining();
@@ -236,13 +271,13 @@
                 if (gathered.size() + n > opener.bodyBytes) {
                     close();
                     ended("answer larger than " + opener.bodyBytes + " bytes");
-                    return;
+                    return false;
                 }
                 gathered.write(bytes, 0, n);
             }
         }
         if (!part.isLast()) {
-            return;
+            return false;
         }
         HttpResponsePacket head = (HttpResponsePacket) part.getHttpHeader();
         boolean keeps = head.getProcessingState().isKeepAlive();
@@ -256,14 +291,18 @@
         gathered = null;
         int status = head.getStatus();
         part.recycle();
-        if (now.compareAndSet(x, null)) {
-            idleSince = System.nanoTime();
-            if (!keeps) { close(); }
-            x.answered(status, headers, body, keeps && usable());
-        }
+        whole = () -> {
+            if (now.compareAndSet(x, null)) {
+                idleSince = System.nanoTime();
+                if (!keeps) { close(); }
+                x.answered(status, headers, body, keeps && usable());
+            }
+        };
+        return true;
     }
 
     private void ended(String why) {
+        hand(); // an answer that came whole before the end stays one
         Exchange x = now.getAndSet(null);
         if (x != null) { x.broken(why); }
         onClose.run();
--- /dev/null
+++ b/src/test/java/switchgap/LayersTest.java
@@ -0,0 +1,47 @@
+package switchgap;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Packages depend one way; what decides and what holds calls is free of sockets, threads and clock. */
+class LayersTest {
+    private final JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        .importPackages("switchgap");
+
+    @Test void packagesDependOneWay() {
+        slices().matching("switchgap.(*)..").should().beFreeOfCycles().check(all);
+        layeredArchitecture().consideringOnlyDependenciesInAnyPackage("switchgap..")
+            .layer("module").definedBy("switchgap", "switchgap.port", "switchgap.state")
+            .layer("core").definedBy("switchgap.router")
+            .layer("wire").definedBy("switchgap.wire")
+            .layer("terms").definedBy("switchgap.terms")
+            .layer("edges").definedBy("switchgap.workers", "switchgap.list", "switchgap.invoke")
+            .layer("gateway").definedBy("switchgap.gateway")
+            .layer("standins").definedBy("switchgap.standin")
+            .layer("days").definedBy("switchgap.day", "switchgap.lab")
+            .layer("bench").definedBy("switchgap.simhost")
+            .layer("cli").definedBy("switchgap.cli")
+            .whereLayer("cli").mayNotBeAccessedByAnyLayer()
+            .whereLayer("days").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("bench").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("standins").mayOnlyBeAccessedByLayers("days")
+            .whereLayer("gateway").mayOnlyBeAccessedByLayers("days", "cli")
+            .whereLayer("edges").mayOnlyBeAccessedByLayers("gateway")
+            .whereLayer("wire").mayOnlyBeAccessedByLayers("edges", "gateway", "standins", "days")
+            .check(all);
+    }
+
+    @Test void decisionsAndCoreTouchNoSocketThreadOrClock() {
+        noClasses().that().resideInAnyPackage("switchgap", "switchgap.port", "switchgap.state", "switchgap.router")
+            .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio..", "java.io..", "org.glassfish..",
+                "java.util.concurrent..", "org.slf4j..", "com.fasterxml..")
+            .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(all);
+    }
+}
--- /dev/null
+++ b/src/test/java/switchgap/gateway/ListTest.java
@@ -0,0 +1,72 @@
+package switchgap.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static switchgap.gateway.Served.end;
+import static switchgap.gateway.Served.until;
+
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import switchgap.standin.ListService;
+import switchgap.standin.Record;
+import switchgap.standin.WallTicker;
+import switchgap.wire.Net;
+
+/** The list while calls run: gone, draining, back with a new process, and a service that is away. */
+class ListTest {
+    @TempDir Path dir;
+
+    private static ListService.Line line(String name, Peer p, String state) {
+        return new ListService.Line(name, p.port(), state, "zone", 0, "", 1, 0);
+    }
+
+    @Test void goneDrainingAndBack() throws Exception {
+        Peer.Manner slow = (q, out) -> {
+            Thread.sleep(150);
+            return Peer.well(q, out);
+        };
+        try (Net net = new Net(1, "list"); WallTicker t = new WallTicker(); Record log = new Record(dir.resolve("l"));
+             Peer a = new Peer(slow); Peer b = new Peer(slow)) {
+            ListService list = new ListService(t, net, log, 0);
+            t.post(() -> list.put(line("w0", a, "ready")));
+            try (Served s = new Served("list: {port: " + list.port() + ", ask_again: 50ms}\n")) {
+                until(() -> list.lines().size() == 1);
+                Thread.sleep(200);
+                assertThat(end(s.invoke("once-1", "1"))).isEqualTo("finished");
+                CompletableFuture<HttpResponse<String>> out = s.later("once-1", "2");
+                until(() -> a.infers() == 2);
+                t.post(() -> { // gone with an execution out, and another one ready
+                    list.put(line("w0", a, "gone"));
+                    list.put(line("w1", b, "ready"));
+                });
+                assertThat(end(out.get())).isEqualTo("finished"); // its connection still answers
+                Thread.sleep(100);
+                assertThat(end(s.invoke("once-1", "3"))).isEqualTo("finished");
+                assertThat(a.infers()).isEqualTo(2);
+                t.post(() -> list.put(line("w1", b, "draining"))); // with no other one left
+                Thread.sleep(100);
+                long before = b.asked.size();
+                assertThat(end(s.invoke("once-1", "4"))).isEqualTo("pushed-back");
+                assertThat(b.asked).hasSize((int) before);
+                t.post(() -> list.away(true)); // the last list stays
+                Thread.sleep(200);
+                assertThat(end(s.invoke("once-1", "5"))).isEqualTo("pushed-back");
+                t.post(() -> {
+                    list.put(new ListService.Line("w0", a.port(), "ready", "zone", 0, "", 1, System.currentTimeMillis()));
+                    list.away(false);
+                });
+                until(() -> {
+                    try {
+                        return end(s.invoke("again-1", "6")).equals("finished");
+                    } catch (Exception e) {
+                        return false;
+                    }
+                });
+                assertThat(a.infers()).isGreaterThan(2); // a known name with a new process
+            }
+            list.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/switchgap/router/CoreTest.java
@@ -0,0 +1,159 @@
+package switchgap.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import switchgap.port.End;
+import switchgap.port.Standing;
+import switchgap.terms.Page;
+import switchgap.terms.PageTerms;
+
+/** The core on a clock that the test moves: limits, pauses, late ends, and nothing left behind. */
+class CoreTest implements Outside, Asker {
+    private static final String TERMS = """
+        router: {number: 0, of: 1, tick: 5ms, executions: 3}
+        workloads:
+          again: {start_target: 300ms, time_limit: 900ms, repeat: restartable}
+          once: {start_target: 300ms, time_limit: 900ms, repeat: run-once}
+        functions: {f: {workload: again, memory: 1, lanes: 100}}
+        """;
+    private final List<Consumer<Core>> next = new ArrayList<>();
+    private final List<Run> sent = new ArrayList<>();
+    private final List<String> said = new ArrayList<>();
+    private final Core core = new Core(new PageTerms(Page.read("t", TERMS)), 1, this, ms(500), ms(50), 2);
+    private Duration at = Duration.ZERO;
+
+    private static Duration ms(long n) { return Duration.ofMillis(n); }
+
+    private void at(long millis) {
+        at = ms(millis);
+        List<Consumer<Core>> now = List.copyOf(next);
+        next.clear();
+        core.round(at, now);
+    }
+
+    /** Rounds at the times that the core asks for. */
+    private void until(long millis) {
+        for (Duration d = core.nextDue(); d != null && d.compareTo(ms(millis)) <= 0; d = core.nextDue()) {
+            at(Math.max(at.toMillis(), (d.toNanos() + 999_999) / 1_000_000));
+        }
+    }
+
+    private void list(String... names) {
+        List<Listed> all = new ArrayList<>();
+        for (String n : names) { all.add(new Listed(n, "h", 1, Standing.READY, 0, 0, 0, 1, null)); }
+        next.add(c -> c.list(true, all));
+    }
+
+    private Call call(int workload, String function) {
+        Call c = new Call("c" + said.size(), function, workload, -1, at.plus(ms(900)), null, null, null, new byte[0], 1, 100,
+            null, false, this);
+        next.add(x -> said.add(x.callCame(c) ? "taken" : "not taken"));
+        return c;
+    }
+
+    private void finish(Run r) {
+        next.add(c -> c.executionEnded(r, End.FINISHED, Loads.UNTOLD, Answer.finished(200, Map.of(), new byte[0])));
+    }
+
+    @Test void aPauseOverALimitEndsInSilenceAndSendsNothing() {
+        list("a", "b");
+        Call c = call(1, "f");
+        at(0);
+        assertThat(sent).hasSize(1);
+        Call waits = call(0, "f");
+        finish(sent.get(0)); // came during the pause
+        at(2000);
+        assertThat(said).contains("overdue").doesNotContain("FINISHED", "KILLED", "PUSHED_BACK");
+        assertThat(c.state()).isEqualTo(Call.State.OVERDUE);
+        assertThat(waits.state()).isIn(Call.State.OVERDUE, Call.State.REFUSED);
+        assertThat(sent).hasSize(1);
+        assertThat(core.held()).isZero();
+        assertThat(core.outstanding()).isZero();
+    }
+
+    @Test void theFirstEndOfAnExecutionCountsAndALateOneReachesNobody() {
+        list("a");
+        call(1, "f");
+        at(0);
+        until(1000);
+        assertThat(said).containsExactly("taken", "abandoned", "KILLED");
+        finish(sent.get(0));
+        at(1100);
+        assertThat(said).containsExactly("taken", "abandoned", "KILLED");
+        assertThat(core.outstanding()).isZero();
+    }
+
+    @Test void tenThousandHeldCallsAllEndBeforeTheirLimitsAndNothingIsLeft() {
+        list("a", "b", "c");
+        at(0);
+        for (int i = 0; i < 10_000; i++) { call(i % 2, "f"); }
+        at(1);
+        until(899);
+        assertThat(said.stream().filter("taken"::equals).count()).isEqualTo(10_000);
+        assertThat(said.stream().filter(s -> s.equals("KILLED") || s.equals("PUSHED_BACK")).count()).isEqualTo(10_000);
+        assertThat(core.held()).isZero();
+        assertThat(core.outstanding()).isZero();
+    }
+
+    @Test void aClientThatLeftGetsNothingAndItsExecutionIsAbandoned() {
+        list("a");
+        Call c = call(1, "f");
+        at(0);
+        next.add(x -> x.clientLeft(c));
+        at(5);
+        at(6);
+        assertThat(said).containsExactly("taken", "abandoned");
+        assertThat(core.held()).isZero();
+        assertThat(core.outstanding()).isZero();
+    }
+
+    @Test void functionsKnownAreBounded() {
+        list("a");
+        call(0, "f1");
+        call(0, "f2");
+        call(0, "f3");
+        at(0);
+        assertThat(said).containsExactly("taken", "taken", "not taken");
+    }
+
+    @Test void aProbeOfAWorkerForgottenMeanwhileTouchesNoOther() {
+        list("a");
+        at(0);
+        Order o = new Order(new Seen("gone", "h", 1, 0), -1, Duration.ZERO);
+        next.add(c -> c.probed(o, End.FINISHED, new Loads(1, 99, 99, -1))); // index 0 is now another worker's
+        at(1);
+        call(0, "f");
+        at(2);
+        assertThat(sent).hasSize(1);
+    }
+
+    // ---- the seam
+
+    @Override public void send(Run run, Duration allow) { sent.add(run); }
+
+    @Override public void abandon(Run run) { said.add("abandoned"); }
+
+    @Override public void hold(Seen w, String f, int copies, Order o) {
+        next.add(c -> c.orderEnded(o, End.FINISHED, Math.max(1, copies)));
+    }
+
+    @Override public void drop(Seen worker, String function) { }
+
+    @Override public void probe(Seen worker, Order order) { }
+
+    @Override public void abandon(Order order) { }
+
+    @Override public void list() { }
+
+    @Override public void note(String text) { }
+
+    @Override public void answered(Call c, Answer a) { said.add(a.kind().name()); }
+
+    @Override public void overdue(Call c) { said.add("overdue"); }
+}
