The store stands on a socket, stand-ins run alone, memory of a held call is measured

Change: StoreService and the workers' line to it, switchgap standin, lab memory, one more core test.

--- a/src/main/java/switchgap/cli/Commands.java
+++ b/src/main/java/switchgap/cli/Commands.java
@@ -18,7 +18,7 @@
 /** The commands. Exit codes: 0 done, 1 failed or a rule broken, 2 unusable input or words. */
 @Command(name = "switchgap", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
     description = "A gateway for functions that workers load on demand.",
-    subcommands = {Commands.Router.class, CallCommand.class, Commands.DayCommand.class, Commands.DemoCommand.class,
+    subcommands = {Commands.Router.class, CallCommand.class, Commands.Standin.class, Commands.DayCommand.class, Commands.DemoCommand.class,
         LabCommand.class,
         Commands.Simhost.class})
 public final class Commands {
@@ -76,6 +76,24 @@
         }
     }
 
+    @Command(name = "standin", description = "Runs a day's stand-ins alone: model servers, store, list service.",
+        mixinStandardHelpOptions = true)
+    static final class Standin implements Callable<Integer> {
+        @Parameters(paramLabel = "DAY")
+        Path file;
+
+        @Option(names = "--record", paramLabel = "DIR", required = true, description = "where logs and router pages go")
+        Path dir;
+
+        @Option(names = "--script", description = "bring the day's troubles too")
+        boolean script;
+
+        @Override public Integer call() throws Exception {
+            switchgap.day.Standins.run(file, dir, script, System.out);
+            return 0;
+        }
+    }
+
     @Command(name = "day", description = "Plays scripted days over loopback sockets and checks their rules.",
         mixinStandardHelpOptions = true, subcommands = {Run.class, Check.class})
     static final class DayCommand implements Callable<Integer> {
--- a/src/main/java/switchgap/cli/LabCommand.java
+++ b/src/main/java/switchgap/cli/LabCommand.java
@@ -10,7 +10,7 @@
 
 /** Measurements. */
 @Command(name = "lab", description = "Measures the router on this machine.", mixinStandardHelpOptions = true,
-    subcommands = {LabCommand.SpeedRun.class, LabCommand.RelayRun.class})
+    subcommands = {LabCommand.SpeedRun.class, LabCommand.MemoryRun.class, LabCommand.RelayRun.class})
 final class LabCommand implements Callable<Integer> {
     @Override public Integer call() {
         CommandLine.usage(this, System.out);
@@ -35,6 +35,17 @@
         }
     }
 
+    @Command(name = "memory", description = "Heap of a router at size and of each call held.", mixinStandardHelpOptions = true)
+    static final class MemoryRun implements Callable<Integer> {
+        @Option(names = "--calls", defaultValue = "10000")
+        int calls;
+
+        @Override public Integer call() throws Exception {
+            switchgap.lab.Memory.run(calls, System.out);
+            return 0;
+        }
+    }
+
     @Command(name = "relay", hidden = true, description = "The baseline, for lab speed.")
     static final class RelayRun implements Callable<Integer> {
         @Option(names = "--port", required = true)
--- a/src/main/java/switchgap/day/Rig.java
+++ b/src/main/java/switchgap/day/Rig.java
@@ -20,6 +20,7 @@
 import switchgap.standin.ModelServer;
 import switchgap.standin.Record;
 import switchgap.standin.Store;
+import switchgap.standin.StoreService;
 import switchgap.standin.WallTicker;
 import switchgap.wire.Net;
 
@@ -32,6 +33,8 @@
     final Catalogue catalogue;
     final Store store;
     final ListService list;
+    private final StoreService storeService;
+    private final StoreService.Line toStore;
     final Clients clients;
     final Map<String, ModelServer> servers = new LinkedHashMap<>();
     final List<RouterHost> routers = new ArrayList<>();
@@ -43,6 +46,11 @@
     private int next;
 
     Rig(Day day, Path dir, String baseline) throws IOException {
+        this(day, dir, baseline, true);
+    }
+
+    /** Without routers it is the stand-ins alone: pages for routers are written, and none is started. */
+    Rig(Day day, Path dir, String baseline, boolean withRouters) throws IOException {
         this.day = day;
         this.dir = Files.createDirectories(dir);
         chance = new SplittableRandom(day.seed);
@@ -53,6 +61,8 @@
         scriptLog = new Record(dir.resolve("script.jsonl"));
         catalogue = new Catalogue(day.likes, day.functions, day.zipf, day.seed);
         store = new Store(ticker, fleetLog, day.storeTakes, day.storeDown);
+        storeService = new StoreService(ticker, net, store);
+        toStore = new StoreService.Line(ticker, net, storeService.port());
         list = new ListService(ticker, net, listLog, day.listLag);
         fingerprints.add(new HashMap<>());
         clients = new Clients(ticker, net, clientLog, catalogue, day.wishes.toArray(new Clients.Wish[0]), day.manner,
@@ -67,10 +77,10 @@
             Files.writeString(page, day.routerPage(i, ports[i], list.port(), catalogue));
             routers.add(day.ownProcesses ? new RouterProcess(page, dir.resolve("router-" + i + ".log"), baseline)
                 : new RouterInside(page));
-            routers.get(i).start();
+            if (withRouters) { routers.get(i).start(); }
             clients.router(i, ports[i], day.zones.get(day.zoneOf(i)));
         }
-        for (int p : ports) { awaitPort(p); }
+        for (int i = 0; withRouters && i < ports.length; i++) { awaitPort(ports[i]); }
     }
 
     private static int freePort() throws IOException {
@@ -101,7 +111,7 @@
         Day.Kind k = day.kindOf(n);
         ModelServer s = new ModelServer(name, ticker, net, fleetLog, catalogue::find, Day::router, fingerprints.get(0),
             day.tellsLoad, day.seed + 100 + n);
-        int port = s.start(day.make(k), store, day.seed + 1000 + n, cold);
+        int port = s.start(day.make(k), toStore, day.seed + 1000 + n, cold);
         servers.put(name, s);
         list.put(line(name, port, "ready", n, k, cold));
     }
@@ -143,7 +153,7 @@
         int n = Integer.parseInt(name.substring(1));
         ticker.after(micros, () -> {
             try {
-                int port = servers.get(name).start(day.make(day.kindOf(n)), store, day.seed + ticker.now(), true);
+                int port = servers.get(name).start(day.make(day.kindOf(n)), toStore, day.seed + ticker.now(), true);
                 list.put(line(name, port, "ready", n, day.kindOf(n), true));
             } catch (IOException e) {
                 LOG.error("worker {} can't be started again", name, e);
@@ -201,6 +211,7 @@
         routers.forEach(RouterHost::kill);
         servers.values().forEach(ModelServer::kill);
         list.close();
+        storeService.close();
         ticker.close();
         net.close();
     }
--- a/src/main/java/switchgap/standin/Machine.java
+++ b/src/main/java/switchgap/standin/Machine.java
@@ -63,7 +63,7 @@
 
     final Make make;
     private final Ticker ticker;
-    private final Store store;
+    private final Fetches store;
     private final String name;
     private final SplittableRandom chance;
     private final Runnable fell;
@@ -84,7 +84,7 @@
     private boolean dead;
 
     /** A machine that starts now; cold unless it is held to have run for long. */
-    public Machine(Make make, Ticker ticker, Store store, String name, long seed, boolean cold, Runnable fell) {
+    public Machine(Make make, Ticker ticker, Fetches store, String name, long seed, boolean cold, Runnable fell) {
         this.make = make;
         this.ticker = ticker;
         this.store = store;
--- a/src/main/java/switchgap/standin/ModelServer.java
+++ b/src/main/java/switchgap/standin/ModelServer.java
@@ -56,7 +56,7 @@
     }
 
     /** Starts a process: empty, and cold unless said to have run for long. Returns the port. */
-    public int start(Machine.Make make, Store store, long seed, boolean cold) throws IOException {
+    public int start(Machine.Make make, Fetches store, long seed, boolean cold) throws IOException {
         machine = new Machine(make, ticker, store, name, seed, cold, () -> {
             record.line(ticker.now(), "fell", "worker", name);
             kill();
--- a/src/main/java/switchgap/standin/Store.java
+++ b/src/main/java/switchgap/standin/Store.java
@@ -6,7 +6,7 @@
  * The one store that all loads fetch from. A fetch alone takes its own time; beyond {@code takes} in hand all slow
  * down in proportion, beyond four times that it refuses, and pushed past three times for three seconds it stops.
  */
-public final class Store {
+public final class Store implements Fetches {
     private static final double REFUSES = 4;
     private static final double STOPS = 3;
     private static final long PUSHED = 3_000_000;
@@ -32,8 +32,7 @@
 
     public long fetches() { return fetches; }
 
-    /** Tells true when fetched, false when refused or stopped. */
-    void fetch(String worker, String function, long micros, Consumer<Boolean> then) {
+    @Override public void fetch(String worker, String function, long micros, Consumer<Boolean> then) {
         long now = ticker.now();
         fetches++;
         if (now < stoppedUntil || inHand >= REFUSES * takes) {
--- /dev/null
+++ b/src/main/java/switchgap/standin/StoreService.java
@@ -0,0 +1,91 @@
+package switchgap.standin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.function.Consumer;
+import switchgap.wire.Bounds;
+import switchgap.wire.HttpDoor;
+import switchgap.wire.HttpLink;
+import switchgap.wire.Net;
+import switchgap.wire.Request;
+
+/** The store on a socket: {@code GET /v1/functions/NAME?worker=W&micros=N}, 200 when fetched, 503 when refused. */
+public final class StoreService implements HttpDoor.Desk, AutoCloseable {
+    private static final byte[] BLOB = new byte[1024];
+    private static final Map<String, String> HEAD = Map.of("Content-Type", "application/octet-stream");
+    private final Ticker ticker;
+    private final Store store;
+    private final HttpDoor door;
+    private final int port;
+
+    public StoreService(Ticker ticker, Net net, Store store) throws IOException {
+        this.ticker = ticker;
+        this.store = store;
+        door = new HttpDoor(net, Bounds.USUAL, this);
+        port = door.listen("127.0.0.1", 0);
+    }
+
+    public int port() { return port; }
+
+    @Override public void asked(Request r) {
+        ticker.post(() -> {
+            String worker = r.asked("worker");
+            String micros = r.asked("micros");
+            if (worker == null || micros == null || !r.path.startsWith("/v1/functions/")) {
+                r.answer(404, HEAD, new byte[0]);
+                return;
+            }
+            store.fetch(worker, r.path.substring("/v1/functions/".length()), Long.parseLong(micros),
+                got -> r.answer(got ? 200 : 503, HEAD, got ? BLOB : new byte[0]));
+        });
+    }
+
+    @Override public void close() { door.close(); }
+
+    /** A worker's way to the store: a kept link for each fetch that is out. */
+    public static final class Line implements Fetches {
+        private static final Duration CONNECT = Duration.ofSeconds(1);
+        private final Ticker ticker;
+        private final HttpLink.Opener opener;
+        private final InetSocketAddress at;
+        private final ArrayDeque<HttpLink> idle = new ArrayDeque<>();
+
+        public Line(Ticker ticker, Net net, int port) {
+            this.ticker = ticker;
+            this.opener = new HttpLink.Opener(net, null, 1 << 20);
+            this.at = new InetSocketAddress("127.0.0.1", port);
+        }
+
+        @Override public void fetch(String worker, String function, long micros, Consumer<Boolean> then) {
+            HttpLink l = idle.pollFirst();
+            while (l != null && !l.usable()) { l = idle.pollFirst(); }
+            String path = "/v1/functions/" + function + "?worker=" + worker + "&micros=" + micros;
+            if (l != null) {
+                ask(l, path, then);
+                return;
+            }
+            opener.open(at, CONNECT, new HttpLink.Opening() {
+                @Override public void open(HttpLink link) { ticker.post(() -> ask(link, path, then)); }
+
+                @Override public void failed(String why) { ticker.post(() -> then.accept(false)); }
+            });
+        }
+
+        private void ask(HttpLink l, String path, Consumer<Boolean> then) {
+            boolean took = l.ask("GET", path, Map.of(), new byte[0], new HttpLink.Exchange() {
+                @Override public void answered(int status, Map<String, String> h, byte[] body, boolean reusable) {
+                    ticker.post(() -> {
+                        if (reusable) { idle.addFirst(l); }
+                        then.accept(status == 200);
+                    });
+                }
+
+                @Override public void broken(String why) { ticker.post(() -> then.accept(false)); }
+            });
+            if (!took) { then.accept(false); }
+        }
+    }
+}
--- a/src/test/java/switchgap/router/CoreTest.java
+++ b/src/test/java/switchgap/router/CoreTest.java
@@ -113,6 +113,22 @@
         assertThat(core.outstanding()).isZero();
     }
 
+    @Test void aDrainWithCallsWaitingForThatWorkersLoadSendsThemElsewhereOrGivesThemUp() {
+        list("a");
+        at(0);
+        call(1, "f");
+        at(1);
+        next.add(c -> c.executionEnded(sent.get(0), End.MISS, Loads.UNTOLD, null)); // now a load is ordered at a
+        at(2);
+        next.clear(); // the load does not end
+        next.add(c -> c.list(false, List.of(new Listed("a", "h", 1, Standing.DRAINING, 0, 0, 0, 1, null))));
+        at(10);
+        until(890);
+        assertThat(sent).hasSize(1);
+        assertThat(said).contains("PUSHED_BACK").doesNotContain("KILLED"); // a miss proves that nothing ran
+        assertThat(core.held()).isZero();
+    }
+
     @Test void functionsKnownAreBounded() {
         list("a");
         call(0, "f1");
