--- a/src/main/java/switchgap/cli/Commands.java
+++ b/src/main/java/switchgap/cli/Commands.java
@@ -18,8 +18,8 @@
 /** The commands. Exit codes: 0 done, 1 failed or a rule broken, 2 unusable input or words. */
 @Command(name = "switchgap", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
     description = "A gateway for functions that workers load on demand.",
-    subcommands = {Commands.Router.class, CallCommand.class, Commands.Standin.class, Commands.DayCommand.class, Commands.DemoCommand.class,
-        LabCommand.class,
+    subcommands = {Commands.Router.class, CallCommand.class, LevelsCommand.class, Commands.Standin.class, Commands.DayCommand.class, Commands.DemoCommand.class,
+        LabCommand.class, Commands.ExperimentCommand.class,
         Commands.Simhost.class})
 public final class Commands {
     private Commands() { }
@@ -152,6 +152,24 @@
         }
     }
 
+    @Command(name = "experiment", description = "Variants over a load curve in simulated time, side by side.",
+        mixinStandardHelpOptions = true)
+    static final class ExperimentCommand implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE")
+        Path file;
+
+        @Option(names = "--quick", description = "one seed and a part of the time")
+        boolean quick;
+
+        @Option(names = "--report", paramLabel = "FILE", description = "an HTML page with plots")
+        Path report;
+
+        @Override public Integer call() throws Exception {
+            switchgap.lab.Experiment.run(file, quick, report, System.out);
+            return 0;
+        }
+    }
+
     @Command(name = "simhost", description = "Hosts router instances on the simulator's wire, on standard input and output.",
         mixinStandardHelpOptions = true)
     static final class Simhost implements Callable<Integer> {
--- a/src/main/java/switchgap/day/Rig.java
+++ b/src/main/java/switchgap/day/Rig.java
@@ -19,6 +19,7 @@
 import switchgap.standin.Model;
 import switchgap.standin.ModelServer;
 import switchgap.standin.Record;
+import switchgap.standin.SocketWay;
 import switchgap.standin.Store;
 import switchgap.standin.StoreService;
 import switchgap.standin.WallTicker;
@@ -36,6 +37,7 @@
     private final StoreService storeService;
     private final StoreService.Line toStore;
     final Clients clients;
+    private final SocketWay way;
     final Map<String, ModelServer> servers = new LinkedHashMap<>();
     final List<RouterHost> routers = new ArrayList<>();
     final SplittableRandom chance;
@@ -65,7 +67,8 @@
         toStore = new StoreService.Line(ticker, net, storeService.port());
         list = new ListService(ticker, net, listLog, day.listLag);
         fingerprints.add(new HashMap<>());
-        clients = new Clients(ticker, net, clientLog, catalogue, day.wishes.toArray(new Clients.Wish[0]), day.manner,
+        way = new SocketWay(ticker, net, clientLog, day.routers);
+        clients = new Clients(ticker, way, catalogue, day.wishes.toArray(new Clients.Wish[0]), day.manner,
             day.rate, day.routerShares(), day.customers, day.seed + 1);
         ports = new int[day.routers];
         for (int i = 0; i < day.workers; i++) { startWorker(false); }
@@ -78,7 +81,8 @@
             routers.add(day.ownProcesses ? new RouterProcess(page, dir.resolve("router-" + i + ".log"), baseline)
                 : new RouterInside(page));
             if (withRouters) { routers.get(i).start(); }
-            clients.router(i, ports[i], day.zones.get(day.zoneOf(i)));
+            way.router(i, ports[i]);
+            clients.zone(i, day.zones.get(day.zoneOf(i)));
         }
         for (int i = 0; withRouters && i < ports.length; i++) { awaitPort(ports[i]); }
     }
--- a/src/main/java/switchgap/gateway/Gateway.java
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -10,9 +10,13 @@
 import org.slf4j.LoggerFactory;
 import switchgap.Decide;
 import switchgap.invoke.InvokeApi;
+import switchgap.level.Change;
+import switchgap.level.Levels;
 import switchgap.list.ListWatch;
 import switchgap.router.Core;
 import switchgap.router.Deferred;
+import switchgap.router.Gate;
+import switchgap.terms.Page;
 import switchgap.terms.PageTerms;
 import switchgap.wire.Carriers;
 import switchgap.wire.Clock;
@@ -57,9 +61,15 @@
             return new Core(terms, decide, made.get(), page.orderLimit(), page.probeLimit(), page.mostFunctions());
         }, "loop-" + terms.self());
         workers = made.get();
+        Levels levels = terms.levelsAct() ? new Levels(terms.levelTerms(), page.seed() * 31 + bornWall) : null;
+        AtomicReference<Gate> gate = new AtomicReference<>();
+        loop.post(c -> {
+            gate.set(new Gate(c, terms, levels, x -> told(terms, x)));
+            if (levels != null && terms.pinned() != null) { gate.get().pin(terms.pinned(), terms.pinnedFor()); }
+        });
         String start = "r" + terms.self() + "-" + Long.toString(bornWall, 36) + "-";
         Deferred deferred = new Deferred(start + "d", page.kept(), page.mostDeferred(), page.mostDeferredBytes());
-        api = new InvokeApi(terms, loop::now, loop::post, carriers, deferred, start, page.mostHeld(), page.mostWait());
+        api = new InvokeApi(terms, loop::now, loop::post, carriers, deferred, gate::get, start, page.mostHeld(), page.mostWait());
         door = new HttpDoor(net, page.bounds(), api);
         watch = page.list() == null ? null : new ListWatch(opener, page.list(), terms.self(), bornWall, page.listAgain(),
             terms::zone, terms::machineKind, loop::post);
@@ -73,7 +83,10 @@
             most = most.compareTo(terms.timeLimit(w)) < 0 ? terms.timeLimit(w) : most;
         }
         longest = most;
-        sweeper = Clock.LATER.scheduleAtFixedRate(this::sweep, 1, 1, TimeUnit.SECONDS);
+        sweeper = Clock.LATER.scheduleAtFixedRate(() -> {
+            workers.sweep();
+            loop.post(c -> gate.get().tick());
+        }, 1, 1, TimeUnit.SECONDS);
         loop.start();
         try {
             port = door.listen(page.host(), page.port());
@@ -85,8 +98,11 @@
         LOG.info("router {} of {} serves at {}:{}", terms.self(), terms.routers(), page.host(), port);
     }
 
-    private void sweep() {
-        workers.sweep();
+    /** A change of level is what an operator acts on: one line, with the figures that met the condition. */
+    private static void told(PageTerms terms, Change c) {
+        LOG.warn("level {} to {} for {}: {} (pressure {}, evidence {} calls)", Page.word(c.from()), Page.word(c.to()),
+            c.customer() < 0 ? "all" : terms.customerName(c.customer()), c.condition(),
+            String.format(java.util.Locale.ROOT, "%.3f", c.pressure()), Math.round(c.evidence()));
     }
 
     public int port() { return port; }
--- a/src/main/java/switchgap/invoke/InvokeApi.java
+++ b/src/main/java/switchgap/invoke/InvokeApi.java
@@ -10,11 +10,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import switchgap.level.Rung;
 import switchgap.router.Answer;
 import switchgap.router.Asker;
 import switchgap.router.Call;
 import switchgap.router.Core;
 import switchgap.router.Deferred;
+import switchgap.router.Gate;
+import switchgap.terms.Page;
 import switchgap.terms.PageTerms;
 import switchgap.wire.Carriers;
 import switchgap.wire.Clock;
@@ -32,6 +35,8 @@
     private final Consumer<Consumer<Core>> events;
     private final Carriers carriers;
     private final Deferred deferred;
+    private final Supplier<Gate> gate;
+    private final LevelsDesk levels;
     private final String prefix;
     private final int mostHeld;
     private final int mostWait;
@@ -42,12 +47,14 @@
 
     /** {@code prefix} of call ids: unlike any other start of any router; {@code mostWait} seconds of a held poll. */
     public InvokeApi(PageTerms terms, Supplier<Duration> now, Consumer<Consumer<Core>> events, Carriers carriers,
-                     Deferred deferred, String prefix, int mostHeld, int mostWait) {
+                     Deferred deferred, Supplier<Gate> gate, String prefix, int mostHeld, int mostWait) {
         this.terms = terms;
         this.now = now;
         this.events = events;
         this.carriers = carriers;
         this.deferred = deferred;
+        this.gate = gate;
+        this.levels = new LevelsDesk(terms);
         this.prefix = prefix;
         this.mostHeld = mostHeld;
         this.mostWait = mostWait;
@@ -79,6 +86,11 @@
                     int wait = wait(r);
                     events.accept(c -> look(r, at[3], wait));
                 }
+            } else if (r.path.equals("/v1/levels")) {
+                events.accept(c -> levels.asked(r, gate.get()));
+            } else if (r.path.equals("/metrics")) {
+                events.accept(c -> r.answer(200, Map.of("Content-Type", "text/plain; version=0.0.4"),
+                    levels.metrics(gate.get().levels(), held.get(), ends())));
             } else if (r.path.equals("/healthz")) {
                 r.answer(closing ? 503 : 200, Map.of("Content-Type", "text/plain"),
                     (closing ? "stopping\n" : "ok\n").getBytes(StandardCharsets.US_ASCII));
@@ -119,10 +131,10 @@
             Call call = call(a, r, limit, prefix + next.getAndIncrement(), new Sync(r, a.call()));
             r.attachment = call;
             events.accept(c -> {
-                if (!c.callCame(call)) {
+                if (!gate.get().offer(call)) {
                     held.decrementAndGet();
                     refuse(r, notTaken("no room for a further function").problem, a.call());
-                } else if (!r.open()) {
+                } else if (!r.open() && call.state() == Call.State.HELD) {
                     c.clientLeft(call);
                     held.decrementAndGet();
                 }
@@ -137,7 +149,8 @@
 
     private static Call call(Ask a, Request r, Duration limit, String id, Asker asker) {
         return new Call(id, a.function(), a.workload(), a.customer(), limit, a.hint(), a.fingerprint(),
-            r.header("Content-Type"), r.body, a.entry().memory(), a.entry().lanes(), a.entry().load(), a.repeat(), asker);
+            r.header("Content-Type"), r.body, a.entry().memory(), a.entry().lanes(), a.entry().load(), a.repeat(),
+            a.deferred(), asker);
     }
 
     @Override public void left(Request r) {
@@ -167,7 +180,7 @@
             ended(a);
             carriers.carry(c.id.hashCode(), () -> {
                 if (now.get().compareTo(c.limit) < 0) {
-                    reply(r, a, c.id, echo);
+                    reply(r, a, c.id, echo, c.met);
                 } else { // paused between the decision and the write: silence, not a late answer
                     ends[3].incrementAndGet();
                     r.drop();
@@ -207,13 +220,13 @@
                 e.overdue(c);
             }
         });
-        if (!core.callCame(call)) {
+        deferred.held(e, call);
+        if (!gate.get().offer(call)) {
             held.decrementAndGet();
             deferred.refused(e);
             refuse(r, notTaken("no room for a further function").problem, a.call());
             return;
         }
-        deferred.held(e, call);
         Map<String, String> headers = headers(call.id, a.call());
         headers.put("Location", "/v1/calls/" + call.id);
         headers.put("Preference-Applied", "respond-async");
@@ -256,7 +269,8 @@
 
     private void replyEnded(Request r, Deferred.Entry e) {
         Answer a = e.answer();
-        reply(r, a == null ? new Answer(Answer.Kind.KILLED, 0, Map.of(), new byte[0], null) : a, deferred.id(e), null);
+        reply(r, a == null ? new Answer(Answer.Kind.KILLED, 0, Map.of(), new byte[0], null) : a, deferred.id(e), null,
+            e.call() == null ? null : e.call().met);
     }
 
     private void leave(Request r, String id, Core core) {
@@ -290,8 +304,9 @@
         r.answer(p.status(), h, p.bytes());
     }
 
-    private static void reply(Request r, Answer a, String id, String echo) {
+    private static void reply(Request r, Answer a, String id, String echo, Rung met) {
         Map<String, String> h = headers(id, echo);
+        if (met != null) { h.put("Switchgap-Level", Page.word(met)); }
         switch (a.kind()) {
             case FINISHED -> {
                 h.putAll(a.headers());
@@ -302,6 +317,7 @@
                 Map<String, Object> members = new LinkedHashMap<>();
                 members.put("end", "pushed-back");
                 members.put("repeat_harmless", true);
+                if (met != null) { members.put("level", Page.word(met)); }
                 if (a.comeBack() != null) {
                     members.put("come_back_ms", a.comeBack().toMillis());
                     h.put("Retry-After", String.valueOf((a.comeBack().toMillis() + 999) / 1000));
--- /dev/null
+++ b/src/main/java/switchgap/invoke/LevelsDesk.java
@@ -0,0 +1,104 @@
+package switchgap.invoke;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import switchgap.level.Change;
+import switchgap.level.Levels;
+import switchgap.level.Rung;
+import switchgap.router.Gate;
+import switchgap.terms.Page;
+import switchgap.terms.PageTerms;
+import switchgap.wire.Request;
+
+/** Shows the levels of a router and pins them; on the router's loop. */
+final class LevelsDesk {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long LONGEST_PIN = 86_400;
+    private final PageTerms terms;
+
+    LevelsDesk(PageTerms terms) { this.terms = terms; }
+
+    /** {@code GET /v1/levels}: now and the last changes; {@code POST /v1/levels?pin=RUNG&seconds=N}: a pin that expires. */
+    void asked(Request r, Gate gate) {
+        Levels l = gate.levels();
+        if (l == null) {
+            refuse(r, new Problem(404, "no-levels", "levels do not act at this router"));
+            return;
+        }
+        if (r.method.equals("POST")) {
+            Rung rung = null;
+            for (Rung g : Rung.values()) { rung = Page.word(g).equals(r.asked("pin")) && g != Rung.SHARE ? g : rung; }
+            long seconds = seconds(r.asked("seconds"));
+            if (rung == null || seconds < 1 || seconds > LONGEST_PIN) {
+                refuse(r, new Problem(400, "malformed-pin", "pin must be full, least, most or hold, seconds from 1 to "
+                    + LONGEST_PIN));
+                return;
+            }
+            gate.pin(rung, Duration.ofSeconds(seconds));
+        }
+        r.answer(200, Map.of("Content-Type", "application/json"), show(l));
+    }
+
+    private static long seconds(String s) {
+        try {
+            return s == null ? -1 : Long.parseLong(s);
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static void refuse(Request r, Problem p) {
+        r.answer(p.status(), Map.of("Content-Type", Problem.TYPE), p.bytes());
+    }
+
+    private byte[] show(Levels l) {
+        ObjectNode n = JSON.createObjectNode();
+        n.put("level", Page.word(l.rung())).put("depth", l.depth()).put("pinned", l.pinned()).put("pressure", l.pressure());
+        ObjectNode spent = n.putObject("seconds_at");
+        ObjectNode touched = n.putObject("pushed_back");
+        for (Rung g : Rung.values()) {
+            spent.put(Page.word(g), l.spent(g).toMillis() / 1000.0);
+            for (int w = 0; w < terms.workloads(); w++) {
+                long t = l.touched(g, w);
+                if (t > 0) { touched.withObject("/" + Page.word(g)).put(terms.kind(w).name(), t); }
+            }
+        }
+        ObjectNode customers = n.putObject("customers");
+        for (int c = 0; c < terms.customers(); c++) {
+            customers.putObject(terms.customerName(c)).put("level", Page.word(l.rung(c))).put("depth", l.depth(c));
+        }
+        ArrayNode all = n.putArray("changes");
+        for (Change c : l.changes()) {
+            all.addObject().put("at_s", c.at().toMillis() / 1000.0).put("for", c.customer() < 0 ? "all"
+                : terms.customerName(c.customer())).put("from", Page.word(c.from())).put("to", Page.word(c.to()))
+                .put("condition", c.condition()).put("pressure", c.pressure()).put("evidence", c.evidence());
+        }
+        return n.toPrettyString().concat("\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Plain metrics of the levels and of the calls ended: finished, pushed back, killed, overdue. */
+    byte[] metrics(Levels l, int held, long[] ends) {
+        StringBuilder s = new StringBuilder();
+        s.append("switchgap_calls_held ").append(held).append('\n');
+        String[] kinds = {"finished", "pushed_back", "killed", "overdue"};
+        for (int i = 0; i < kinds.length; i++) { s.append("switchgap_calls_ended{end=\"").append(kinds[i]).append("\"} ").append(ends[i]).append('\n'); }
+        if (l != null) {
+            s.append("switchgap_level ").append(l.rung().ordinal()).append('\n');
+            s.append("switchgap_level_depth ").append(String.format(Locale.ROOT, "%.3f", l.depth())).append('\n');
+            for (Rung g : Rung.values()) {
+                s.append("switchgap_level_seconds{level=\"").append(Page.word(g)).append("\"} ")
+                    .append(l.spent(g).toMillis() / 1000.0).append('\n');
+                for (int w = 0; w < terms.workloads(); w++) {
+                    s.append("switchgap_level_pushed_back{level=\"").append(Page.word(g)).append("\",workload=\"")
+                        .append(terms.kind(w).name()).append("\"} ").append(l.touched(g, w)).append('\n');
+                }
+            }
+        }
+        return s.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/lab/EmulatedRouter.java
@@ -0,0 +1,138 @@
+package switchgap.lab;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import switchgap.port.End;
+import switchgap.router.Answer;
+import switchgap.router.Core;
+import switchgap.router.Gate;
+import switchgap.router.Loads;
+import switchgap.router.Order;
+import switchgap.router.Outside;
+import switchgap.router.Run;
+import switchgap.router.Seen;
+import switchgap.standin.Machine;
+import switchgap.standin.Model;
+
+/** The program's own core and gate in simulated time: its outside is the emulator's machines, a hop away. */
+final class EmulatedRouter implements Outside {
+    private static final byte[] NOTHING = {};
+    private final Emulator world;
+    private final long born;
+    private final List<Consumer<Core>> events = new ArrayList<>();
+    private Gate gate;
+    private boolean due;
+    private long wake = Long.MAX_VALUE;
+    private boolean dead;
+
+    EmulatedRouter(Emulator world) {
+        this.world = world;
+        this.born = world.ticker.now();
+    }
+
+    void gate(Gate g) {
+        gate = g;
+        post(c -> { });
+    }
+
+    Gate gate() { return gate; }
+
+    /** The process dies: what it held is lost. */
+    void kill() { dead = true; }
+
+    Duration now() { return Duration.ofNanos((world.ticker.now() - born) * 1000); }
+
+    void post(Consumer<Core> e) {
+        if (dead) { return; }
+        events.add(e);
+        if (!due) {
+            due = true;
+            world.ticker.after(world.quantum, this::round);
+        }
+    }
+
+    private void round() {
+        due = false;
+        if (dead) { return; }
+        List<Consumer<Core>> now = new ArrayList<>(events);
+        events.clear();
+        gate.core().round(now(), now);
+        Duration next = gate.core().nextDue();
+        long at = next == null ? Long.MAX_VALUE : born + next.toNanos() / 1000 + 1;
+        if (at < wake || wake <= world.ticker.now()) {
+            wake = at;
+            world.ticker.after(at - world.ticker.now(), () -> {
+                if (wake == at && !due && !dead) {
+                    wake = Long.MAX_VALUE;
+                    round();
+                }
+            });
+        }
+    }
+
+    private Loads loads(Machine m, int crowd) {
+        return world.day.tellsLoad() ? new Loads(m.busy(), m.inHand(), m.waiting(), crowd)
+            : new Loads(Double.NaN, Double.NaN, Double.NaN, crowd);
+    }
+
+    @Override public void send(Run run, Duration allow) {
+        Machine m = world.machine(run.worker.name);
+        Model model = world.catalogue.find(run.call.function);
+        world.ticker.after(world.hop, () -> {
+            if (dead || m == null || m.dead()) {
+                world.ticker.after(world.hop, () -> post(c -> c.executionEnded(run, End.NO_CONNECTION, Loads.UNTOLD, null)));
+                return;
+            }
+            run.exchange = m.infer(model, () -> { }, (o, crowd) -> world.ticker.after(world.hop, () -> post(c ->
+                c.executionEnded(run, switch (o) {
+                    case OK, DROPPED -> End.FINISHED;
+                    case MISS -> End.MISS;
+                    case FULL -> End.FULL;
+                    default -> End.ERROR;
+                }, loads(m, crowd), new Answer(Answer.Kind.FINISHED, 200, Map.of(), NOTHING, null)))));
+        });
+    }
+
+    @Override public void abandon(Run run) {
+        Machine m = world.machine(run.worker.name);
+        world.ticker.after(world.hop, () -> {
+            if (m != null && run.exchange instanceof Machine.Work w) { m.leave(w); }
+        });
+    }
+
+    @Override public void hold(Seen worker, String function, int copies, Order order) {
+        Machine m = world.machine(worker.name);
+        world.ticker.after(world.hop, () -> {
+            if (m == null || m.dead()) {
+                post(c -> c.orderEnded(order, End.NO_CONNECTION, 0));
+            } else if (copies == 0) {
+                int n = m.standing(function);
+                world.ticker.after(world.hop, () -> post(c -> c.orderEnded(order, End.FINISHED, n)));
+            } else {
+                m.hold(world.catalogue.find(function), copies, (o, n) -> world.ticker.after(world.hop, () -> post(c ->
+                    c.orderEnded(order, o == Machine.Outcome.OK ? End.FINISHED : o == Machine.Outcome.FULL ? End.FULL
+                        : End.ERROR, n))));
+            }
+        });
+    }
+
+    @Override public void drop(Seen worker, String function) {
+        Machine m = world.machine(worker.name);
+        if (m != null) { world.ticker.after(world.hop, () -> m.drop(function)); }
+    }
+
+    @Override public void probe(Seen worker, Order order) {
+        Machine m = world.machine(worker.name);
+        world.ticker.after(2 * world.hop, () -> post(c -> c.probed(order, m == null || m.dead() ? End.NO_CONNECTION
+            : End.FINISHED, m == null ? Loads.UNTOLD : loads(m, -1))));
+    }
+
+    @Override public void abandon(Order order) { }
+
+    @Override public void list() { }
+
+    @Override public void note(String text) { }
+}
--- /dev/null
+++ b/src/main/java/switchgap/lab/Emulator.java
@@ -0,0 +1,256 @@
+package switchgap.lab;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.LongToDoubleFunction;
+import switchgap.Decide;
+import switchgap.day.Day;
+import switchgap.day.Verb;
+import switchgap.level.Change;
+import switchgap.level.Levels;
+import switchgap.port.Standing;
+import switchgap.port.Terms;
+import switchgap.router.Answer;
+import switchgap.router.Asker;
+import switchgap.router.Call;
+import switchgap.router.Core;
+import switchgap.router.Gate;
+import switchgap.router.Listed;
+import switchgap.standin.Catalogue;
+import switchgap.standin.Clients;
+import switchgap.standin.Machine;
+import switchgap.standin.Model;
+import switchgap.standin.Store;
+import switchgap.standin.Way;
+import switchgap.terms.Page;
+import switchgap.terms.PageTerms;
+
+/**
+ * A day in simulated time: the stand-ins' machines, store and clients, and the program's own core, gate, levels and
+ * module, without sockets. The same seed brings the same arrivals whatever the variant.
+ */
+final class Emulator {
+    /** What stands before the module. */
+    enum Before { NOTHING, STATIC, LEVELS }
+
+    /** A change of level at a router. */
+    record Seen(int router, Change change) { }
+
+    final Day day;
+    final VirtualTicker ticker = new VirtualTicker();
+    final Catalogue catalogue;
+    final Clients clients;
+    final long quantum;
+    final long hop;
+    final List<Seen> changes = new ArrayList<>();
+    final List<EmulatedRouter> routers = new ArrayList<>();
+    private final Before before;
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final Map<String, Boolean> ready = new LinkedHashMap<>();
+    private final List<PageTerms> terms = new ArrayList<>();
+    private final Store store;
+    private final SplittableRandom chance;
+    private final long seed;
+    private int next;
+
+    Emulator(Day day, long seed, Before before, LongToDoubleFunction curve) {
+        this.day = day;
+        this.seed = seed;
+        this.before = before;
+        this.quantum = 1000;
+        this.hop = 300;
+        this.chance = new SplittableRandom(seed);
+        switchgap.standin.Record nothing = switchgap.standin.Record.none();
+        catalogue = day.catalogue(seed);
+        store = new Store(ticker, nothing, day.storeTakes(), day.storeDown());
+        clients = day.clients(ticker, this::send, catalogue, seed + 1);
+        clients.curve(curve);
+        for (int i = 0; i < day.workers(); i++) { start(false); }
+        List<Machine> all = List.copyOf(machines.values());
+        for (Model m : catalogue.known()) { all.get(Math.floorMod(m.name().hashCode() * 31, all.size())).seed(m); }
+        for (int i = 0; i < day.routers(); i++) {
+            terms.add(new PageTerms(Page.read("router " + i, day.routerPage(i, 1, 1, catalogue))));
+            clients.zone(i, day.zone(i));
+            routers.add(null);
+            router(i);
+        }
+    }
+
+    /** Starts a router with nothing but the list. */
+    void router(int i) {
+        if (routers.get(i) != null) { routers.get(i).kill(); }
+        EmulatedRouter r = new EmulatedRouter(this);
+        routers.set(i, r);
+        PageTerms t = terms.get(i);
+        long own = seed * 31 + i * 7919L + ticker.now();
+        Core core = new Core(t, new Decide(t, own)::round, r, Duration.ofSeconds(10), Duration.ofMillis(250), 20_000);
+        Levels levels = before == Before.LEVELS ? new Levels(t.levelTerms(), own + 1) : null;
+        r.gate(new Gate(core, t, levels, c -> changes.add(new Seen(i, c))));
+        List<Listed> list = new ArrayList<>();
+        machines.keySet().forEach(n -> { if (ready.get(n)) { list.add(line(n, Standing.READY, r)); } });
+        r.post(c -> c.list(true, list));
+    }
+
+    private Listed line(String name, Standing s, EmulatedRouter r) {
+        int n = Integer.parseInt(name.substring(1));
+        Machine m = machines.get(name);
+        return new Listed(name, "emulated", 1, s, day.zoneOf(n), n / day.cellSize(), terms.isEmpty() ? 0
+            : terms.get(0).machineKind(day.kindName(n)), day.sizeOf(n),
+            m.cold() ? r.now().minus(Duration.ofNanos((ticker.now() - m.started()) * 1000)) : null);
+    }
+
+    private void start(boolean cold) {
+        int n = next++;
+        String name = "w" + n;
+        machines.put(name, new Machine(day.makeOf(n), ticker, store, name, seed + 1000 + n, cold, () -> { }));
+        ready.put(name, true);
+        if (cold) { tell(name, Standing.READY); }
+    }
+
+    /** Mean share of cores at work, over the workers that run. */
+    double busy() {
+        return machines.values().stream().filter(m -> !m.dead()).mapToDouble(Machine::busy).average().orElse(0);
+    }
+
+    Machine machine(String name) { return machines.get(name); }
+
+    private void tell(String name, Standing s) {
+        ready.put(name, s == Standing.READY);
+        ticker.after(day.listLag(), () -> routers.forEach(r -> {
+            Listed l = line(name, s, r);
+            r.post(c -> c.list(false, List.of(l)));
+        }));
+    }
+
+    private void send(Way.Try t, Way.Ending then) {
+        EmulatedRouter r = routers.get(t.router());
+        PageTerms own = terms.get(t.router());
+        PageTerms.Entry e = own.function(t.model().name());
+        long began = ticker.now();
+        boolean[] over = {false};
+        Call[] call = new Call[1];
+        Asker asker = new Asker() {
+            @Override public void answered(Call c, Answer a) {
+                ticker.after(hop, () -> over(over, then, switch (a.kind()) {
+                    case FINISHED -> "finished";
+                    case PUSHED_BACK -> "pushed-back";
+                    case KILLED -> "killed";
+                }, a.kind() == Answer.Kind.FINISHED ? 200 : 503, a.comeBack() == null ? -1 : a.comeBack().toMillis()));
+            }
+
+            @Override public void overdue(Call c) { }
+        };
+        ticker.after(hop, () -> r.post(c -> {
+            call[0] = new Call(t.call(), t.model().name(), t.model().workload(), own.customer(t.customer()),
+                r.now().plus(Duration.ofNanos((t.limit() - ticker.now()) * 1000)),
+                Duration.ofNanos((long) (t.model().work() * 1000)), t.key(), null, new byte[0], e.memory(), e.lanes(), e.load(),
+                false, false, asker);
+            if (before == Before.STATIC && cutOff(r, t.model().workload(), own)) {
+                asker.answered(call[0], new Answer(Answer.Kind.PUSHED_BACK, 0, Map.of(), new byte[0], Duration.ofMillis(500)));
+            } else if (!r.gate().offer(call[0])) {
+                ticker.after(hop, () -> over(over, then, "refused", 503, -1));
+            }
+        }));
+        ticker.after(t.limit() - began, () -> {
+            if (!over[0]) {
+                over(over, then, "gave-up", 0, -1);
+                if (call[0] != null) { r.post(c -> c.clientLeft(call[0])); }
+            }
+        });
+    }
+
+    /** The baseline of a static cut-off: so many held at a router, and what is less important is turned away. */
+    private boolean cutOff(EmulatedRouter r, int workload, Terms t) {
+        double most = 0;
+        for (int w = 0; w < t.workloads(); w++) { most = Math.max(most, t.importance(w)); }
+        return t.importance(workload) < most && r.gate().core().held() >= Math.max(2, day.staticHeld());
+    }
+
+    private static void over(boolean[] over, Way.Ending then, String end, int status, long comeBack) {
+        if (!over[0]) {
+            over[0] = true;
+            then.ended(end, status, comeBack);
+        }
+    }
+
+    /** Plays so many seconds, and what is still out to its end; {@code each} is called once a second. */
+    void play(long seconds, java.util.function.LongConsumer each) {
+        long from = ticker.now();
+        long end = from + seconds * 1_000_000;
+        clients.start(end);
+        day.script().forEach(t -> ticker.after(t.at(), () -> bring(t)));
+        for (long s = 0; s < seconds; s++) {
+            ticker.run(from + (s + 1) * 1_000_000);
+            each.accept(s);
+        }
+        ticker.run(end + 10_000_000);
+    }
+
+    private void bring(Day.Trouble t) {
+        String customer = t.of() == null ? day.customers().keySet().iterator().next() : t.of();
+        switch (t.verb()) {
+            case SLOW -> {
+                List<Machine> some = some(t.part());
+                some.forEach(m -> m.slow(t.size()));
+                ticker.after(t.lasts(), () -> some.forEach(m -> m.slow(1)));
+            }
+            case BURST -> {
+                clients.burst(t.size());
+                ticker.after(t.lasts(), () -> clients.burst(1));
+            }
+            case CUSTOMER_BURST -> {
+                clients.burst(customer, t.size());
+                ticker.after(t.lasts(), () -> clients.burst(customer, 1));
+            }
+            case HAMMERING -> {
+                clients.hammer(customer);
+                ticker.after(t.lasts(), () -> clients.hammer(null));
+            }
+            case HOT_FUNCTIONS -> {
+                catalogue.hot(t.part(), (int) Math.max(1, t.size()));
+                ticker.after(t.lasts(), () -> catalogue.hot(0, 1));
+            }
+            case ONE_OFF_FUNCTIONS -> {
+                catalogue.once(t.part());
+                ticker.after(t.lasts(), () -> catalogue.once(0));
+            }
+            case STORE_SLOW -> {
+                store.slow(t.size());
+                ticker.after(t.lasts(), () -> store.slow(1));
+            }
+            case WORKERS_KILLED -> some(t.part()).forEach(m -> {
+                m.die();
+                ticker.after(t.lasts(), () -> {
+                    tell(m.name(), Standing.GONE);
+                    start(true);
+                });
+            });
+            case ROUTERS_RESTARTED -> {
+                for (int i = 0; i < Math.max(1, Math.round(t.part() * day.routers())); i++) { router(i); }
+            }
+            default -> throw new IllegalArgumentException("the emulator does not bring " + Page.word(t.verb())
+                + "; it brings what needs no socket");
+        }
+    }
+
+    private List<Machine> some(double part) {
+        List<Machine> all = new ArrayList<>();
+        machines.forEach((n, m) -> { if (ready.get(n) && !m.dead()) { all.add(m); } });
+        int n = Math.max(1, (int) Math.round(part * all.size()));
+        while (all.size() > n) { all.remove(chance.nextInt(all.size())); }
+        return all;
+    }
+
+    /** Whether the emulator can bring a trouble. */
+    static boolean brings(Verb v) {
+        return switch (v) {
+            case SLOW, BURST, CUSTOMER_BURST, HAMMERING, HOT_FUNCTIONS, ONE_OFF_FUNCTIONS, STORE_SLOW, WORKERS_KILLED,
+                ROUTERS_RESTARTED -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/lab/Trial.java
@@ -0,0 +1,118 @@
+package switchgap.lab;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import switchgap.day.Day;
+import switchgap.level.Levels;
+import switchgap.level.Rung;
+import switchgap.standin.Clients;
+
+/** One variant over one curve with one seed, and what came of it. */
+final class Trial {
+    final Emulator.Before variant;
+    final long seed;
+    final long seconds;
+    final double service;
+    final double bound;
+    /** Start targets met, by workload. */
+    final Map<String, Double> inTarget = new TreeMap<>();
+    final Map<String, Double> byCustomer = new TreeMap<>();
+    final Map<String, Long> pushedBack = new TreeMap<>();
+    /** For each second: load, worth earned over asked, mean depth of the common ladder (rung + depth), share of routers below full. */
+    final List<double[]> course = new ArrayList<>();
+    final Map<Rung, Double> timeAt = new TreeMap<>();
+    final int changes, customerChanges;
+    final double mostChangesAtOneRouter;
+    /** Seconds from the first second after which load stays under 0.7 until all routers stay at full service; -1 never. */
+    final long backAfter;
+    final long events;
+    /** Mean share of the fleet's cores at work. */
+    final double busy;
+
+    Trial(Day day, long seed, Emulator.Before variant, Curve curve) {
+        this.variant = variant;
+        this.seed = seed;
+        this.seconds = curve.seconds();
+        double full = day.capacity() / day.meanWork() / day.rate();
+        Emulator e = new Emulator(day, seed, variant, t -> curve.at(t) * full);
+        double[] busySum = new double[1];
+        e.play(seconds, s -> {
+            busySum[0] += e.busy();
+            double depth = 0;
+            int below = 0;
+            for (EmulatedRouter r : e.routers) {
+                Levels l = r.gate().levels();
+                if (l != null) {
+                    l.tick(r.now());
+                    depth += l.rung().ordinal() == 0 ? 0 : l.rung().ordinal() - 2 + l.depth();
+                    below += l.rung() == Rung.FULL ? 0 : 1;
+                }
+            }
+            course.add(new double[] {curve.at(s * 1_000_000), 0, depth / e.routers.size(), below / (double) e.routers.size()});
+        });
+        double asked = 0;
+        double earned = 0;
+        for (var t : e.clients.tallies().entrySet()) {
+            Clients.Tally v = t.getValue();
+            asked += v.asked;
+            earned += v.earned;
+            inTarget.put(t.getKey(), (v.finished - v.late) / (double) Math.max(1, v.jobs));
+            pushedBack.put(t.getKey(), v.pushedBack);
+        }
+        service = earned / Math.max(asked, 1e-9);
+        e.clients.customers().forEach((c, v) -> byCustomer.put(c, v[1] / Math.max(v[0], 1e-9)));
+        e.clients.seconds().forEach((s, v) -> {
+            if (s < course.size()) { course.get(s.intValue())[1] = v[1] / Math.max(v[0], 1e-9); }
+        });
+        bound = bound(day, curve);
+        int[] each = new int[e.routers.size()];
+        int own = 0;
+        for (Emulator.Seen c : e.changes) {
+            if (c.change().customer() < 0) { each[c.router()]++; } else { own++; }
+        }
+        changes = Arrays.stream(each).sum();
+        customerChanges = own;
+        mostChangesAtOneRouter = Arrays.stream(each).max().orElse(0);
+        for (EmulatedRouter r : e.routers) {
+            if (r.gate().levels() != null) {
+                for (Rung g : Rung.values()) {
+                    timeAt.merge(g, r.gate().levels().spent(g).toMillis() / 1000.0 / e.routers.size(), Double::sum);
+                }
+            }
+        }
+        backAfter = backAfter();
+        events = e.ticker.events();
+        busy = busySum[0] / Math.max(1, seconds);
+    }
+
+    private long backAfter() {
+        int fell = course.size();
+        while (fell > 0 && course.get(fell - 1)[0] < 0.7) { fell--; }
+        int back = course.size();
+        while (back > 0 && course.get(back - 1)[3] == 0) { back--; }
+        return back >= course.size() ? -1 : Math.max(0, back - fell);
+    }
+
+    /** Worth that capacity alone allows: each second the most worth for work first. */
+    private static double bound(Day day, Curve curve) {
+        double asked = 0;
+        double earned = 0;
+        List<double[]> kinds = day.kindsOfWork();
+        kinds.sort((a, b) -> Double.compare(b[1] / b[2], a[1] / a[2]));
+        for (long s = 0; s < curve.seconds(); s++) {
+            double load = curve.at(s * 1_000_000);
+            double left = 1;
+            for (double[] k : kinds) { // share of jobs, importance, work over the mean
+                double work = load * k[0] * k[2];
+                double did = Math.min(left, work);
+                left -= did;
+                asked += load * k[0] * k[1];
+                earned += load * k[0] * k[1] * (work == 0 ? 1 : did / work);
+            }
+        }
+        return earned / asked;
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/level/LevelTerms.java
@@ -0,0 +1,30 @@
+package switchgap.level;
+
+import java.time.Duration;
+import switchgap.port.Repeat;
+
+/**
+ * What levels go by, from the operator's terms.
+ *
+ * @param importance  of each workload
+ * @param repeat      of each workload
+ * @param target      start target of each workload
+ * @param share       of each customer, in any unit
+ * @param spared      workloads that no level may touch
+ * @param ceiling     the lowest service that levels may come to by themselves
+ * @param comeBack    the longest come-back time, null where none is told
+ */
+public record LevelTerms(double[] importance, Repeat[] repeat, Duration[] target, double[] share, boolean[] spared,
+                         Rung ceiling, Duration comeBack) {
+    double mostImportance() {
+        double most = 0;
+        for (double i : importance) { most = Math.max(most, i); }
+        return most;
+    }
+
+    Duration longestTarget() {
+        Duration most = Duration.ofMillis(1);
+        for (Duration t : target) { most = most.compareTo(t) < 0 ? t : most; }
+        return most;
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/level/Levels.java
@@ -0,0 +1,271 @@
+package switchgap.level;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import switchgap.port.Repeat;
+
+/**
+ * Which offered calls reach the module. One ladder for all and one for each customer. Conditions are ratios to what
+ * the terms state and what this router measures; it never sees a name. The module's own pushbacks, bounds and places
+ * stay the module's: levels only see what it pushed back for want of room, as pressure.
+ */
+public final class Levels {
+    // --- Marks. Shares of the importance of calls that passed.
+    private static final double CROWDED = 0.16;   // of all: pushed back by the module for want of room
+    private static final double PROTECTED = 0.10; // of the most important workloads: the same
+    private static final double BUSY = 0.9;       // of workers' cores, where told: below it nothing is overloaded
+    private static final double UNTOLD = 1.5;     // times the marks, where no worker tells how busy it is
+    private static final double LATE = 0.5;       // of a pushback for want of room: an answer after the start target
+    private static final double HARD = 0.5;       // of all: only past it may the last rung, which takes nothing, be come to
+    private static final double LEAVE = 0.4;      // of either mark: under it service is given back
+    private static final double GAIN = 0.3;       // depth a second, for a share of one past the mark
+    private static final double GIVE_BACK = 0.03; // depth a second, with nothing pressing at all
+    private static final double ENOUGH = 8;       // calls of evidence, before service is given up
+    private static final double OVER = 1.3;       // times the usual load for a share: a customer over its share
+    private static final double STAY = 10;        // longest start targets: the shortest stay on a rung
+    private static final double FADE = 4;         // longest start targets: evidence halves
+    private static final double PATIENCE = 6;     // times slower where there is little evidence
+    private static final double EVEN = 1.1;       // of its share: what an over-share customer keeps
+    private static final int KEPT = 64;           // changes remembered
+
+    private final LevelTerms terms;
+    private final SplittableRandom chance;
+    private final double most;
+    private final double fade;
+    private final Ladder common;
+    private final Ladder[] own;
+    private final double[] came;                  // importance offered by each customer, first tries and repeats
+    private final double[] cut;                   // of it, the share beyond an even load for the share
+    private double passed, crowded, passedBest, crowdedBest, calls, told, tells;
+    private final List<Change> changes = new ArrayList<>();
+    private final long[][] touched;               // calls pushed back: by rung, by workload
+    private final Duration[] spent = new Duration[Rung.values().length];
+    private Duration last = Duration.ZERO;
+
+    public Levels(LevelTerms terms, long seed) {
+        this.terms = terms;
+        this.chance = new SplittableRandom(seed);
+        this.most = terms.mostImportance();
+        double longest = terms.longestTarget().toNanos() / 1e9;
+        this.fade = longest * FADE;
+        Duration stay = Duration.ofNanos((long) (longest * STAY * (0.8 + 0.4 * chance.nextDouble()) * 1e9)); // not in step
+        this.common = new Ladder(stay, chance.split(), rungs(terms));
+        int n = terms.share().length;
+        this.own = new Ladder[n];
+        Arrays.setAll(own, c -> new Ladder(stay, chance.split(), Rung.FULL, Rung.SHARE));
+        this.came = new double[n];
+        this.cut = new double[n];
+        this.touched = new long[Rung.values().length][terms.importance().length];
+        Arrays.fill(spent, Duration.ZERO);
+    }
+
+    /** The rungs that touch anything under these terms. */
+    private static Rung[] rungs(LevelTerms t) {
+        boolean least = false;
+        boolean lesser = false;
+        for (int w = 0; w < t.importance().length; w++) {
+            boolean best = t.importance()[w] >= t.mostImportance();
+            least |= !best && !t.spared()[w] && t.repeat()[w] == Repeat.RESTARTABLE;
+            lesser |= !best && !t.spared()[w] && t.repeat()[w] != Repeat.RESTARTABLE;
+        }
+        List<Rung> all = new ArrayList<>(List.of(Rung.FULL));
+        if (least) { all.add(Rung.LEAST); }
+        if (lesser) { all.add(Rung.MOST); }
+        all.add(Rung.HOLD);
+        return all.toArray(new Rung[0]);
+    }
+
+    /** A worker's answer told how busy its cores are; NaN where it tells nothing. */
+    public void busy(double share) {
+        if (Double.isNaN(share)) { return; }
+        told++;
+        tells += share;
+    }
+
+    /** A call is offered; a customer below 0 is none. What the ladders push back was never executed. */
+    public Verdict offered(Duration now, int customer, int workload) {
+        tick(now);
+        if (customer >= 0) { came[customer] += terms.importance()[workload]; }
+        Rung r = rungFor(customer, workload);
+        if (r == null) { return Verdict.PASSES; }
+        touched[r.ordinal()][workload]++;
+        return new Verdict(false, r, comeBack(r));
+    }
+
+    /** The rung that pushes this call back, or null where it passes. Always the same number of draws. */
+    private Rung rungFor(int customer, int workload) {
+        double one = chance.nextDouble();
+        double two = chance.nextDouble();
+        if (terms.spared()[workload]) { return null; }
+        boolean again = terms.repeat()[workload] == Repeat.RESTARTABLE;
+        boolean best = terms.importance()[workload] >= most;
+        Rung all = common.rung();
+        if (all == Rung.HOLD && one < common.depth()) { return Rung.HOLD; }
+        if (all.compareTo(Rung.MOST) >= 0 && !best && (all == Rung.HOLD || again || one < common.depth())) { return Rung.MOST; }
+        if (all.compareTo(Rung.LEAST) >= 0 && again && !best && (all != Rung.LEAST || one < common.depth())) { return Rung.LEAST; }
+        boolean over = customer >= 0 && own[customer].rung() == Rung.SHARE;
+        return over && again && two < own[customer].depth() * cut[customer] ? Rung.SHARE : null;
+    }
+
+    /** Longer the deeper, spread by chance so that those pushed back together don't come back together. */
+    private Duration comeBack(Rung r) {
+        double spread = chance.nextDouble();
+        if (terms.comeBack() == null) { return null; }
+        double base = r == Rung.SHARE ? 0.5 : 0.4 + 0.2 * Math.min(3, r.ordinal() - 1);
+        return Duration.ofNanos((long) (terms.comeBack().toNanos() * Math.min(1, base * (0.6 + 0.8 * spread))));
+    }
+
+    /** A call that passed has ended. */
+    public void ended(Duration now, int workload, Outcome o) {
+        tick(now);
+        double worth = terms.importance()[workload];
+        double lost = o == Outcome.CROWDED ? worth : o == Outcome.LATE ? worth * LATE : 0;
+        calls++;
+        passed += worth;
+        crowded += lost;
+        if (worth >= most) {
+            passedBest += worth;
+            crowdedBest += lost;
+        }
+    }
+
+    /** Lets time pass; steps of at most a second count, so that a clock that jumps moves nothing at once. */
+    public void tick(Duration now) {
+        double dt = (now.toNanos() - last.toNanos()) / 1e9;
+        if (dt < 0.1) { return; }
+        spent[common.rung().ordinal()] = spent[common.rung().ordinal()].plus(now.minus(last));
+        last = now;
+        dt = Math.min(1, dt);
+        shares();
+        double excess = 0;
+        double total = Math.max(Arrays.stream(came).sum(), Double.MIN_NORMAL);
+        boolean ownBusy = false;
+        double error = error();
+        boolean known = calls >= ENOUGH;
+        for (int c = 0; c < own.length; c++) {
+            boolean over = cut[c] > 0;
+            expire(own[c], c, now);
+            Rung from = own[c].rung();
+            String why = own[c].step(now, dt, over ? error : -GIVE_BACK * 4, known, terms.ceiling());
+            if (why != null) { note(now, c, from, own[c].rung(), why); }
+            excess += came[c] * cut[c];
+            ownBusy |= over && own[c].depth() < 1;
+        }
+        expire(common, -1, now);
+        // What customers bring beyond their share counts against their own ladders, as long as these can still give.
+        boolean theirs = ownBusy && error > 0 && excess / total > 0.5 * pressure();
+        Rung from = common.rung();
+        String why = common.step(now, dt, theirs ? 0 : error, known, pressure() < HARD && terms.ceiling() == Rung.HOLD
+            ? Rung.MOST : terms.ceiling());
+        if (why != null && !common.pinned()) { note(now, -1, from, common.rung(), why); }
+        decay(dt);
+    }
+
+    private void expire(Ladder l, int customer, Duration now) {
+        Rung from = l.rung();
+        if (l.expire(now)) { note(now, customer, from, l.rung(), "the pin has expired"); }
+    }
+
+    /** Share of the passed importance that the module pushed back for want of room. */
+    public double pressure() { return crowded / Math.max(passed, Double.MIN_NORMAL); }
+
+    private double error() {
+        // Guards against a rung that lets nothing pass and so never hears that the crowd has gone.
+        if (calls < ENOUGH / 4) { return -GIVE_BACK; }
+        boolean idle = told >= ENOUGH / 2 && tells / told < BUSY; // crowds at one copy are the module's to spread
+        double times = told >= ENOUGH / 2 ? 1 : UNTOLD;
+        double all = pressure() / CROWDED / times;
+        double best = crowdedBest / Math.max(passedBest, Double.MIN_NORMAL) / PROTECTED / times;
+        double worst = Math.max(all, passedBest < ENOUGH / 2 * most ? 0 : best);
+        if (worst >= 1 && !idle) { return GAIN * (worst == all ? pressure() - CROWDED : (best - 1) * PROTECTED) + 0.01; }
+        return worst <= LEAVE || idle ? -GIVE_BACK * Math.max(0, 1 - worst / LEAVE) - 0.005 : 0;
+    }
+
+    /**
+     * Which customers are over their share: their load for a share stands out from the usual one, the median over the
+     * customers weighted by share. Two that hammer don't move it as long as they hold less than half of the shares.
+     */
+    private void shares() {
+        int n = came.length;
+        Integer[] by = new Integer[n];
+        Arrays.setAll(by, c -> c);
+        double[] load = new double[n];
+        double all = 0;
+        for (int c = 0; c < n; c++) {
+            load[c] = came[c] / Math.max(terms.share()[c], Double.MIN_NORMAL);
+            all += terms.share()[c];
+        }
+        Arrays.sort(by, (a, b) -> Double.compare(load[a], load[b]));
+        double usual = 0;
+        double sum = 0;
+        for (int c : by) {
+            sum += terms.share()[c];
+            usual = load[c];
+            if (sum >= all / 2) { break; }
+        }
+        for (int c = 0; c < n; c++) {
+            boolean seen = came[c] > 4 * most; // a handful of calls says nothing of a share
+            cut[c] = seen && usual > 0 && load[c] > OVER * usual ? 1 - EVEN * usual / load[c] : 0;
+        }
+    }
+
+    private void decay(double dt) {
+        double k = Math.pow(0.5, dt / fade / (calls > 2 * ENOUGH ? 1 : PATIENCE));
+        calls *= k;
+        told *= k;
+        tells *= k;
+        passed *= k;
+        crowded *= k;
+        passedBest *= k;
+        crowdedBest *= k;
+        for (int c = 0; c < came.length; c++) {
+            came[c] *= k;
+        }
+    }
+
+    private void note(Duration now, int customer, Rung from, Rung to, String why) {
+        if (changes.size() == KEPT) { changes.remove(0); }
+        changes.add(new Change(now, customer, from, to, why, pressure(), calls));
+        fresh.add(changes.get(changes.size() - 1));
+    }
+
+    private final List<Change> fresh = new ArrayList<>();
+
+    // ------------------------------------------------------------------ for operators
+
+    /** Holds a level for all until a time, whatever the pressure. */
+    public void pin(Duration now, Rung r, Duration until) {
+        Rung from = common.rung();
+        common.pin(r, until);
+        note(now, -1, from, r, "pinned");
+    }
+
+    public boolean pinned() { return common.pinned(); }
+
+    public Rung rung() { return common.rung(); }
+
+    public double depth() { return common.depth(); }
+
+    public Rung rung(int customer) { return own[customer].rung(); }
+
+    public double depth(int customer) { return own[customer].depth(); }
+
+    /** The last changes, oldest first. */
+    public List<Change> changes() { return List.copyOf(changes); }
+
+    /** Changes since this was last asked. */
+    public List<Change> fresh() {
+        List<Change> all = List.copyOf(fresh);
+        fresh.clear();
+        return all;
+    }
+
+    /** Time spent at a level for all. */
+    public Duration spent(Rung r) { return spent[r.ordinal()]; }
+
+    /** Calls of a workload that a rung pushed back. */
+    public long touched(Rung r, int workload) { return touched[r.ordinal()][workload]; }
+}
--- a/src/main/java/switchgap/router/Call.java
+++ b/src/main/java/switchgap/router/Call.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import switchgap.level.Rung;
 
 /** A call as a client gave it, and how it stands. All times are spans since the router's start. */
 public final class Call {
@@ -29,6 +30,10 @@
     public final boolean repeat;
     /** Whoever is told of the end. */
     public final Asker asker;
+    /** Whether the client polls for the answer: it may wait a while before it is offered again. */
+    public final boolean deferred;
+    /** The reduced level that pushed it back, null where none did. */
+    public Rung met;
     State state = State.HELD;
     Duration taken = Duration.ZERO;
     int index = -1;
@@ -36,7 +41,7 @@
 
     public Call(String id, String function, int workload, int customer, Duration limit, Duration hint,
                 String fingerprint, String contentType, byte[] body, double memory, int lanes, Duration load,
-                boolean repeat, Asker asker) {
+                boolean repeat, boolean deferred, Asker asker) {
         this.id = id;
         this.function = function;
         this.workload = workload;
@@ -50,6 +55,7 @@
         this.lanes = lanes;
         this.load = load;
         this.repeat = repeat;
+        this.deferred = deferred;
         this.asker = asker;
     }
 
--- a/src/main/java/switchgap/router/Core.java
+++ b/src/main/java/switchgap/router/Core.java
@@ -36,6 +36,7 @@
     private final List<Integer> freeCalls = new ArrayList<>();
     private Duration now = Duration.ZERO;
     private Feed feed;
+    private Watch watch = (c, a) -> { };
     private int held;
 
     /** What decides: the module, or in measurements a baseline. */
@@ -43,6 +44,21 @@
         void round(Duration now, Incoming in, Decisions out);
     }
 
+    /** Hears of each call taken how it ended: its answer, null where it got none. */
+    interface Watch {
+        void ended(Call c, Answer a);
+
+        /** What a worker told with an execution's end. */
+        default void told(Loads l) { }
+    }
+
+    void watch(Watch w) { watch = w; }
+
+    Duration now() { return now; }
+
+    /** Runs in a round at that time or soon after. */
+    void later(Duration at, Runnable then) { timers.at(at, then); }
+
     /** A core under the module. Orders and probes are given up after their limits. */
     public Core(Terms terms, long seed, Outside outside, Duration orderLimit, Duration probeLimit, int mostFunctions) {
         this(terms, new Decide(terms, seed)::round, outside, orderLimit, probeLimit, mostFunctions);
@@ -113,7 +129,10 @@
     public void clientLeft(Call c) {
         if (c.state == Call.State.HELD && c.index >= 0) {
             end(c, Call.State.LEFT);
+            watch.ended(c, null);
             feed.left(c.index);
+        } else if (c.state == Call.State.HELD) { // was not offered to the module yet
+            c.state = Call.State.LEFT;
         }
     }
 
@@ -124,7 +143,9 @@
     public void executionEnded(Run r, End end, Loads loads, Answer answer) {
         if (r.ended) { return; }
         r.ended = true;
+        r.mayHaveRun = !end.neverRan;
         timers.stop(r.timer);
+        watch.told(loads);
         Call c = r.call;
         boolean first = end == End.FINISHED && c.state == Call.State.HELD;
         if (first) { answer(c, answer); }
@@ -196,9 +217,11 @@
     private void answer(Call c, Answer a) {
         if (now.compareTo(c.limit) >= 0) { // paused past the limit: silence, not a late answer
             end(c, Call.State.OVERDUE);
+            watch.ended(c, null);
             c.asker.overdue(c);
         } else {
             end(c, Call.State.ANSWERED);
+            watch.ended(c, a);
             c.asker.answered(c, a);
         }
     }
--- /dev/null
+++ b/src/main/java/switchgap/router/Gate.java
@@ -0,0 +1,110 @@
+package switchgap.router;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import switchgap.level.Change;
+import switchgap.level.Levels;
+import switchgap.level.Outcome;
+import switchgap.level.Rung;
+import switchgap.level.Verdict;
+import switchgap.port.Terms;
+
+/**
+ * Where calls are offered: asks the levels, and hands on to the core what passes. What a level pushes back was never
+ * executed, so the pushback keeps rules 1 and 2. Runs within the core's rounds.
+ */
+public final class Gate {
+    private static final double CROWDED_BY = 1.2; // start targets: a pushback so early found no room
+    private final Core core;
+    private final Terms terms;
+    private final Levels levels;
+    private final Consumer<Change> told;
+
+    /** Without levels (null) everything passes. Each change of level is told. */
+    public Gate(Core core, Terms terms, Levels levels, Consumer<Change> told) {
+        this.core = core;
+        this.terms = terms;
+        this.levels = levels;
+        this.told = told;
+        if (levels != null) {
+            core.watch(new Core.Watch() {
+                @Override public void ended(Call c, Answer a) { Gate.this.ended(c, a); }
+
+                @Override public void told(Loads l) { levels.busy(l.busy()); }
+            });
+        }
+    }
+
+    public Core core() { return core; }
+
+    public Levels levels() { return levels; }
+
+    /** Offers a call. False when it was not taken and gets no answer here: no room, or its limit has passed. */
+    public boolean offer(Call c) {
+        if (levels == null) { return core.callCame(c); }
+        Verdict v = levels.offered(core.now(), c.customer, c.workload);
+        tell();
+        if (v.passes()) { return core.callCame(c); }
+        Duration left = c.limit.minus(core.now());
+        Duration need = terms.startTarget(c.workload).multipliedBy(2);
+        if (c.deferred && left.compareTo(need) > 0) { // nobody waits on a connection: offered again while there is time
+            Duration wait = left.minus(need).dividedBy(3).plusMillis(50);
+            core.later(core.now().plus(wait), () -> again(c));
+            return true;
+        }
+        pushBack(c, v);
+        return true;
+    }
+
+    private void again(Call c) {
+        if (c.state == Call.State.HELD && !offer(c)) { pushBack(c, new Verdict(false, Rung.HOLD, null)); }
+    }
+
+    private void pushBack(Call c, Verdict v) {
+        if (c.limit.compareTo(core.now()) <= 0) {
+            c.state = Call.State.OVERDUE;
+            c.asker.overdue(c);
+            return;
+        }
+        c.state = Call.State.ANSWERED;
+        c.met = v.rung();
+        c.asker.answered(c, Answer.pushedBack(v.comeBack()));
+    }
+
+    private void ended(Call c, Answer a) {
+        Duration took = core.now().minus(c.taken);
+        Duration target = terms.startTarget(c.workload);
+        levels.ended(core.now(), c.workload, outcome(c, a, took, target));
+        tell();
+    }
+
+    private static Outcome outcome(Call c, Answer a, Duration took, Duration target) {
+        if (a == null) { return Outcome.OTHER; }
+        return switch (a.kind()) {
+            case FINISHED -> took.compareTo(target) <= 0 ? Outcome.IN_TARGET : Outcome.LATE;
+            case PUSHED_BACK -> c.runs.stream().noneMatch(r -> r.mayHaveRun)
+                && took.toNanos() <= target.toNanos() * CROWDED_BY ? Outcome.CROWDED : Outcome.OTHER;
+            case KILLED -> Outcome.OTHER;
+        };
+    }
+
+    /** Holds a level for all for a span. */
+    public void pin(Rung r, Duration span) {
+        levels.pin(core.now(), r, core.now().plus(span));
+        tell();
+    }
+
+    /** Lets time pass for the levels where nothing is offered. */
+    public void tick() {
+        if (levels != null) {
+            levels.tick(core.now());
+            tell();
+        }
+    }
+
+    private void tell() {
+        List<Change> fresh = levels.fresh();
+        fresh.forEach(told);
+    }
+}
--- a/src/main/java/switchgap/router/Run.java
+++ b/src/main/java/switchgap/router/Run.java
@@ -9,6 +9,7 @@
     public final Seen worker;
     final Duration sent;
     boolean ended;
+    boolean mayHaveRun = true;
     Timers.Timer timer;
     /** The transport's own. */
     public volatile Object exchange;
--- a/src/main/java/switchgap/standin/Machine.java
+++ b/src/main/java/switchgap/standin/Machine.java
@@ -26,7 +26,7 @@
                        long fallSpan, double fetchShare, double loadFails) { }
 
     /** A job in the machine. */
-    final class Work {
+    public final class Work {
         private final Model model;
         private final Held held;
         private final Runnable began;
@@ -103,22 +103,28 @@
         next();
     }
 
-    void die() { dead = true; }
+    public void die() { dead = true; }
 
-    long started() { return started; }
+    public boolean dead() { return dead; }
+
+    public boolean cold() { return cold; }
+
+    public String name() { return name; }
+
+    public long started() { return started; }
 
     /** Share of full capacity at a time. */
-    double warmth(long now) {
+    public double warmth(long now) {
         return !cold ? 1 : Math.min(1, make.coldShare + (1 - make.coldShare) * (now - started) / (double) make.coldSpan);
     }
 
-    int inHand() { return inHand; }
+    public int inHand() { return inHand; }
 
-    int waiting() { return inHand - running.size() - doingIo; }
+    public int waiting() { return inHand - running.size() - doingIo; }
 
-    double busy() { return Math.min(1, running.size() / (double) make.cores); }
+    public double busy() { return Math.min(1, running.size() / (double) make.cores); }
 
-    int standing(String function) {
+    public int standing(String function) {
         Held h = all.get(function);
         return h == null ? 0 : h.standing;
     }
@@ -146,7 +152,7 @@
     }
 
     /** Runs a job; the outcome comes with the jobs of the function met. Null when answered at once, else for leave(). */
-    Work infer(Model m, Runnable began, BiConsumer<Outcome, Integer> then) {
+    public Work infer(Model m, Runnable began, BiConsumer<Outcome, Integer> then) {
         weigh(m.work());
         if (dead) { return null; }
         Held h = all.computeIfAbsent(m.name(), x -> new Held(m));
@@ -171,7 +177,7 @@
     }
 
     /** The asker left: what waits is dropped, what runs goes on. */
-    void leave(Work w) {
+    public void leave(Work w) {
         if (w.waits && w.held.waiting.remove(w)) {
             w.waits = false;
             w.held.inHand--;
@@ -180,7 +186,7 @@
     }
 
     /** Holds at least so many copies; tells how many stand. */
-    void hold(Model m, int copies, BiConsumer<Outcome, Integer> then) {
+    public void hold(Model m, int copies, BiConsumer<Outcome, Integer> then) {
         if (dead) { return; }
         Held h = all.computeIfAbsent(m.name(), x -> new Held(m));
         h.used = ticker.now();
@@ -197,7 +203,7 @@
         }
     }
 
-    void drop(String function) { flush(function); }
+    public void drop(String function) { flush(function); }
 
     private double gauss() {
         return Math.sqrt(-2 * Math.log(1 - chance.nextDouble())) * Math.cos(2 * Math.PI * chance.nextDouble());
--- /dev/null
+++ b/src/main/java/switchgap/standin/SocketWay.java
@@ -0,0 +1,119 @@
+package switchgap.standin;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import switchgap.wire.HttpLink;
+import switchgap.wire.Net;
+
+/** Tries over sockets. After its limit a client listens on for a while, so that a late answer is seen and logged. */
+public final class SocketWay implements Way {
+    private static final long LISTENS_ON = 300_000;
+    private static final Duration CONNECT = Duration.ofMillis(500);
+
+    private static final class Line {
+        final ArrayDeque<HttpLink> idle = new ArrayDeque<>();
+        InetSocketAddress at;
+    }
+
+    private final Ticker ticker;
+    private final Record record;
+    private final HttpLink.Opener opener;
+    private final Line[] lines;
+
+    public SocketWay(Ticker ticker, Net net, Record record, int routers) {
+        this.ticker = ticker;
+        this.record = record;
+        this.opener = new HttpLink.Opener(net, null, 1 << 20);
+        this.lines = new Line[routers];
+        for (int i = 0; i < routers; i++) { lines[i] = new Line(); }
+    }
+
+    /** Where a router listens. */
+    public void router(int number, int port) { lines[number].at = new InetSocketAddress("127.0.0.1", port); }
+
+    @Override public void send(Try t, Ending then) {
+        Line line = lines[t.router()];
+        Out out = new Out(t, line, then);
+        HttpLink l = line.idle.pollFirst();
+        while (l != null && !l.usable()) { l = line.idle.pollFirst(); }
+        if (l != null) {
+            out.ask(l);
+            return;
+        }
+        opener.open(line.at, CONNECT, new HttpLink.Opening() {
+            @Override public void open(HttpLink link) { ticker.post(() -> out.ask(link)); }
+
+            @Override public void failed(String why) { ticker.post(() -> out.over("unreachable", 0, -1)); }
+        });
+    }
+
+    private final class Out implements HttpLink.Exchange {
+        private final Try t;
+        private final Line line;
+        private final Ending then;
+        private HttpLink link;
+        private boolean over;
+
+        Out(Try t, Line line, Ending then) {
+            this.t = t;
+            this.line = line;
+            this.then = then;
+        }
+
+        void ask(HttpLink l) {
+            link = l;
+            long now = ticker.now();
+            Map<String, String> h = new HashMap<>();
+            h.put("Content-Type", "application/json");
+            h.put("Switchgap-Call", t.call());
+            h.put("Switchgap-Customer", t.customer());
+            h.put("Switchgap-Time-Limit", String.valueOf((t.limit() - now) / 1000.0));
+            h.put("Switchgap-Deadline", String.valueOf(t.limit() / 1000));
+            h.put("Switchgap-Cost-Hint", String.valueOf(t.model().work() / 1000));
+            if (t.key() != null) { h.put("Idempotency-Key", t.key()); }
+            byte[] body = ("{\"id\":\"" + t.call() + "\",\"inputs\":[]}").getBytes(StandardCharsets.UTF_8);
+            record.line(now, "call", "call", t.call(), "job", t.job(), "router", t.router(), "workload", t.model().workload(),
+                "function", t.model().name(), "customer", t.customer(), "limit", t.limit());
+            if (!l.ask("POST", "/v1/functions/" + t.model().name() + "/invoke", h, body, this)) {
+                over("unreachable", 0, -1);
+                return;
+            }
+            ticker.after(t.limit() - now, () -> {
+                if (!over) {
+                    over("gave-up", 0, -1);
+                    ticker.after(LISTENS_ON, () -> link.abandon(this));
+                }
+            });
+        }
+
+        @Override public void answered(int status, Map<String, String> head, byte[] body, boolean reusable) {
+            long at = ticker.now();
+            ticker.post(() -> {
+                if (reusable) { line.idle.addFirst(link); }
+                String end = head.getOrDefault("switchgap-end", "refused");
+                if (over) {
+                    record.line(at, "late-answer", "call", t.call(), "status", status, "end", end);
+                } else {
+                    over(end, status, Long.parseLong(head.getOrDefault("switchgap-come-back", "-1")));
+                }
+            });
+        }
+
+        @Override public void broken(String why) {
+            ticker.post(() -> {
+                if (!over) { over("broken", 0, -1); }
+            });
+        }
+
+        private void over(String end, int status, long comeBack) {
+            over = true;
+            record.line(ticker.now(), "answer", "call", t.call(), "job", t.job(), "router", t.router(), "end", end,
+                "status", status);
+            then.ended(end, status, comeBack);
+        }
+    }
+}
--- a/src/main/java/switchgap/terms/PageTerms.java
+++ b/src/main/java/switchgap/terms/PageTerms.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import switchgap.level.LevelTerms;
+import switchgap.level.Rung;
 import switchgap.port.Group;
 import switchgap.port.Repeat;
 import switchgap.port.Terms;
@@ -34,6 +36,10 @@
     private final int self, routers, zone, mostExecutions;
     private final Duration tick, mostComeBack, coldSpan, fallSpan, keep, loadsSpan, askWithin, grace;
     private final boolean second, probe, cancel, comeBack, onMiss, order, sizes, asks;
+    private final boolean levels;
+    private final boolean[] spared;
+    private final Rung ceiling, pinned;
+    private final Duration pinnedFor;
     private final double coldShare, multiple, free, share, memoryPrice, crossing, overWorth;
 
     /** Reads the parts {@code router, zones, kinds, workloads, customers, functions, workers, rules, prices}. */
@@ -92,6 +98,17 @@
         share = u.number("loads_share", 0, 1e6, 0);
         loadsSpan = u.span("loads_span", Duration.ZERO);
         u.done();
+        Page v = p.partOrNone("levels");
+        levels = v.flag("act", true);
+        ceiling = v.choice("ceiling", Rung.class, Rung.HOLD);
+        pinned = v.choice("pin", Rung.class, null);
+        pinnedFor = v.span("pin_for", Duration.ofMinutes(10));
+        spared = new boolean[kinds.size()];
+        for (String name : v.texts("spare")) {
+            if (workload(name) < 0) { throw v.wrong("spare", "'" + name + "' is no workload"); }
+            spared[workload(name)] = true;
+        }
+        v.done();
         Page prices = p.partOrNone("prices");
         memoryPrice = prices.number("memory", 0, 1e3, 0);
         crossing = prices.number("crossing", 0, 1e3, 0);
@@ -175,6 +192,29 @@
         return i < 0 ? machineKinds.size() : i;
     }
 
+    /** What the page states for reduced levels. */
+    public LevelTerms levelTerms() {
+        int n = kinds.size();
+        double[] importance = new double[n];
+        Repeat[] repeats = new Repeat[n];
+        Duration[] targets = new Duration[n];
+        for (int w = 0; w < n; w++) {
+            importance[w] = kinds.get(w).importance();
+            repeats[w] = kinds.get(w).repeat();
+            targets[w] = kinds.get(w).target();
+        }
+        return new LevelTerms(importance, repeats, targets, rates.stream().mapToDouble(x -> x).toArray(), spared.clone(),
+            ceiling, comeBack ? mostComeBack : null);
+    }
+
+    /** Whether levels act at all. */
+    public boolean levelsAct() { return levels; }
+
+    /** The level that the page pins, null for none, and for how long from the start. */
+    public Rung pinned() { return pinned; }
+
+    public Duration pinnedFor() { return pinnedFor; }
+
     public Duration drainGrace() { return grace; }
 
     @Override public int self() { return self; }
--- /dev/null
+++ b/src/test/java/switchgap/level/LevelsTest.java
@@ -0,0 +1,205 @@
+package switchgap.level;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import switchgap.port.Repeat;
+
+/** Levels under loads that a test makes: a fleet that crowds what passes beyond its capacity. Traces are read by people. */
+class LevelsTest {
+    private static final Duration[] TARGETS = {Duration.ofMillis(400), Duration.ofMillis(800)};
+    private final SplittableRandom chance = new SplittableRandom(3);
+    private double second;
+    private double passedNow;
+
+    private static LevelTerms terms(double least, double best, int customers) {
+        double[] share = new double[customers];
+        java.util.Arrays.fill(share, 1.0 / customers);
+        return new LevelTerms(new double[] {least, best}, new Repeat[] {Repeat.RESTARTABLE, Repeat.RUN_ONCE}, TARGETS, share,
+            new boolean[2], Rung.HOLD, Duration.ofSeconds(1));
+    }
+
+    private static Duration at(double seconds) { return Duration.ofNanos((long) (seconds * 1e9)); }
+
+    /** So many seconds of calls; what passes beyond the capacity (calls a second) is crowded out. Returns what was cut. */
+    private int[] load(Levels l, double seconds, double rate, double capacity, double busy, double... weights) {
+        int[] cut = new int[Math.max(1, weights.length)];
+        for (double end = second + seconds; second < end; second += 1 / rate) {
+            int c = 0;
+            double u = chance.nextDouble() * java.util.Arrays.stream(weights).sum();
+            while (c < weights.length - 1 && u >= weights[c]) { u -= weights[c++]; }
+            int w = chance.nextDouble() < 0.7 ? 0 : 1;
+            passedNow *= Math.exp(-1 / rate / 0.5);
+            if (l.offered(at(second), weights.length == 0 ? -1 : c, w).passes()) {
+                passedNow += 1 / 0.5;
+                l.busy(busy);
+                boolean crowded = chance.nextDouble() < 1 - capacity / passedNow;
+                l.ended(at(second), w, crowded ? Outcome.CROWDED : Outcome.IN_TARGET);
+            } else {
+                cut[c]++;
+            }
+        }
+        return cut;
+    }
+
+    private static String trace(Levels l) {
+        StringBuilder s = new StringBuilder();
+        l.changes().forEach(c -> s.append(String.format(Locale.ROOT, "%6.1f %s %s to %s: %s%n", c.at().toMillis() / 1000.0,
+            c.customer() < 0 ? "all" : "customer " + c.customer(), c.from(), c.to(), c.condition())));
+        return s.toString();
+    }
+
+    private static void same(String name, Levels l) throws IOException {
+        try (InputStream in = LevelsTest.class.getResourceAsStream(name + ".txt")) {
+            assertThat(trace(l)).isEqualTo(in == null ? "" : new String(in.readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+
+    @Test void anOverloadIsMetAndServiceComesBackInARamp() throws IOException {
+        Levels l = new Levels(terms(1, 2, 2), 1);
+        load(l, 30, 50, 60, 0.6, 1, 1);
+        load(l, 60, 120, 60, 0.97, 1, 1);
+        assertThat(l.rung()).isEqualTo(Rung.LEAST);
+        assertThat(l.touched(Rung.LEAST, 1)).isZero(); // the most important is never touched there
+        assertThat(l.touched(Rung.LEAST, 0)).isPositive();
+        double deep = l.depth();
+        load(l, 3, 40, 60, 0.5, 1, 1);
+        assertThat(l.depth()).isBetween(0.3 * deep, 0.999 * deep); // a ramp, not a jump
+        load(l, 60, 40, 60, 0.5, 1, 1);
+        assertThat(l.rung()).isEqualTo(Rung.FULL);
+        same("overload", l);
+    }
+
+    @Test void loadThatHoversAtTheMarkDoesNotSwing() {
+        Levels l = new Levels(terms(1, 2, 2), 1);
+        for (int i = 0; i < 60; i++) { load(l, 10, 60 * 1.17 * (0.95 + 0.1 * chance.nextDouble()), 60, 0.95, 1, 1); }
+        assertThat(l.changes().size()).isLessThanOrEqualTo(600 / (4 * 8)); // one change in four shortest stays
+    }
+
+    @Test void crowdsAtOneCopyWhileWorkersIdleAreNotALevelsMatter() {
+        Levels l = new Levels(terms(1, 2, 2), 1);
+        load(l, 60, 80, 60, 0.5, 1, 1);
+        assertThat(l.changes()).isEmpty();
+    }
+
+    @Test void aHammeringCustomerMeetsItsOwnLevelOnly() throws IOException {
+        Levels l = new Levels(terms(1, 2, 5), 1);
+        load(l, 20, 50, 100, 0.7, 1, 1, 1, 1, 1);
+        int[] cut = load(l, 60, 130, 100, 0.95, 9, 1, 1, 1, 1);
+        assertThat(cut[0]).isGreaterThan(500);
+        assertThat(cut[1] + cut[2] + cut[3] + cut[4]).isZero();
+        assertThat(l.rung()).isEqualTo(Rung.FULL);
+        load(l, 60, 50, 100, 0.7, 1, 1, 1, 1, 1);
+        assertThat(l.rung(0)).isEqualTo(Rung.FULL);
+        same("hammering", l);
+    }
+
+    @Test void twoHammeringCustomersReduceNoThird() {
+        Levels l = new Levels(terms(1, 2, 5), 1);
+        load(l, 20, 50, 100, 0.7, 1, 1, 1, 1, 1);
+        int[] cut = load(l, 60, 150, 110, 0.95, 6, 6, 1, 1, 1);
+        assertThat(cut[2] + cut[3] + cut[4]).isZero();
+        assertThat(cut[0]).isPositive();
+        assertThat(cut[1]).isPositive();
+        assertThat(l.rung()).isEqualTo(Rung.FULL);
+    }
+
+    @Test void oneCustomerAloneIsNeverOverItsShare() {
+        Levels l = new Levels(terms(1, 2, 1), 1);
+        load(l, 40, 120, 60, 0.97, 1);
+        assertThat(l.rung(0)).isEqualTo(Rung.FULL);
+        assertThat(l.rung()).isEqualTo(Rung.LEAST);
+    }
+
+    @Test void aRouterWithTwoCallsASecondNeitherJumpsOnOneSampleNorSticks() {
+        Levels l = new Levels(terms(1, 2, 2), 1);
+        l.offered(at(1), 0, 1);
+        l.busy(1);
+        l.ended(at(1.1), 1, Outcome.CROWDED);
+        load(l, 1, 2, 0.001, 1, 1, 1);
+        assertThat(l.changes()).isEmpty();
+        second = 2;
+        load(l, 40, 2, 0.8, 1, 1, 1);
+        assertThat(l.rung()).isNotEqualTo(Rung.FULL);
+        load(l, 300, 2, 100, 0.5, 1, 1);
+        assertThat(l.rung()).isEqualTo(Rung.FULL);
+    }
+
+    @Test void aRouterRestartedInOverloadFindsItsLevelByItself() {
+        Levels l = new Levels(terms(1, 2, 2), 9);
+        load(l, 15, 120, 60, 0.97, 1, 1);
+        assertThat(l.rung()).isEqualTo(Rung.LEAST);
+    }
+
+    @Test void equalImportanceLeavesNoLesserWork() {
+        Levels l = new Levels(terms(1, 1, 2), 1);
+        load(l, 40, 90, 60, 0.97, 1, 1);
+        assertThat(l.rung()).isEqualTo(Rung.FULL); // a third too much is the module's to push back
+        load(l, 60, 300, 60, 0.99, 1, 1);
+        assertThat(l.rung()).isEqualTo(Rung.HOLD);
+    }
+
+    @Test void nothingRestartableMeansTheNextRung() {
+        LevelTerms t = new LevelTerms(new double[] {1, 2}, new Repeat[] {Repeat.RUN_ONCE, Repeat.RUN_ONCE}, TARGETS,
+            new double[] {1}, new boolean[2], Rung.MOST, null);
+        Levels l = new Levels(t, 1);
+        load(l, 40, 150, 60, 0.97, 1);
+        assertThat(l.rung()).isEqualTo(Rung.MOST);
+        assertThat(l.touched(Rung.MOST, 0)).isPositive();
+        assertThat(l.touched(Rung.MOST, 1)).isZero();
+    }
+
+    @Test void aSparedWorkloadIsNeverTouchedAndACeilingHolds() {
+        LevelTerms t = new LevelTerms(new double[] {1, 2}, new Repeat[] {Repeat.RESTARTABLE, Repeat.RESTARTABLE}, TARGETS,
+            new double[] {1}, new boolean[] {true, false}, Rung.LEAST, null);
+        Levels l = new Levels(t, 1);
+        load(l, 60, 300, 60, 0.99, 1);
+        for (Rung r : Rung.values()) { assertThat(l.touched(r, 0)).isZero(); }
+        assertThat(l.rung()).isEqualTo(Rung.FULL); // nothing left to touch under this ceiling
+    }
+
+    @Test void aPinHoldsAndItsEndInOverloadGoesOnFromWhatIsMeasured() {
+        Levels l = new Levels(terms(1, 2, 2), 1);
+        l.pin(at(0), Rung.HOLD, at(20));
+        int[] cut = load(l, 19, 100, 60, 0.97, 1, 1);
+        assertThat(cut[0] + cut[1]).isGreaterThan(1800); // all of it
+        l.pin(at(second), Rung.FULL, at(40));
+        assertThat(l.offered(at(second), 0, 0).passes()).isTrue();
+        load(l, 22, 120, 60, 0.97, 1, 1);
+        load(l, 10, 120, 60, 0.97, 1, 1);
+        assertThat(l.pinned()).isFalse();
+        assertThat(l.rung()).isEqualTo(Rung.LEAST);
+    }
+
+    @Test void aClockThatStepsMovesNothingAtOnce() {
+        Levels l = new Levels(terms(1, 2, 2), 1);
+        load(l, 40, 120, 60, 0.97, 1, 1);
+        double deep = l.depth();
+        second += 7;
+        l.tick(at(second));
+        assertThat(l.rung()).isEqualTo(Rung.LEAST);
+        assertThat(l.depth()).isBetween(deep - 0.2, deep + 0.2);
+        l.tick(at(second - 3)); // back: nothing
+        assertThat(l.rung()).isEqualTo(Rung.LEAST);
+    }
+
+    @Test void routersDoNotChangeInStep() {
+        TreeSet<Long> times = new TreeSet<>();
+        TreeSet<Long> backs = new TreeSet<>();
+        for (int i = 0; i < 40; i++) {
+            second = 0;
+            Levels l = new Levels(terms(1, 2, 2), i);
+            load(l, 30, 3, 1, 1, 1, 1);
+            if (!l.changes().isEmpty()) { times.add(l.changes().get(0).at().toMillis() / 500); }
+            backs.add(l.offered(at(second), 0, 0).comeBack() == null ? 0 : 1L);
+        }
+        assertThat(times.size()).as("%s", times).isGreaterThan(5);
+    }
+}
