Ending an execution tells whether it was sent in one step; nothing waiting goes to a drained worker

Change: Outside.abandon tells what it proves, in one step under the exchange's lock; an exchange looks at its worker's standing when it takes a link; orders have links of their own, as an order holds one for as long as a load takes; list events go before others in the loop. The baseline no longer multiplies its wake-ups nor confuses reused indices.

--- a/src/main/java/switchgap/gateway/Gateway.java
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -72,7 +72,7 @@
         api = new InvokeApi(terms, loop::now, loop::post, carriers, deferred, gate::get, start, page.mostHeld(), page.mostWait());
         door = new HttpDoor(net, page.bounds(), api);
         watch = page.list() == null ? null : new ListWatch(opener, page.list(), terms.self(), bornWall, page.listAgain(),
-            terms::zone, terms::machineKind, loop::post);
+            terms::zone, terms::machineKind, loop::postFirst);
         if (!page.fixed().isEmpty()) { loop.post(c -> c.list(true, page.fixed())); }
         if (watch != null) {
             listening.set(watch::follow);
--- a/src/main/java/switchgap/gateway/Loop.java
+++ b/src/main/java/switchgap/gateway/Loop.java
@@ -18,6 +18,7 @@
     private static final int MOST_EVENTS = 512;
     private final long born = System.nanoTime();
     private final ConcurrentLinkedQueue<Consumer<Core>> queue = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Consumer<Core>> urgent = new ConcurrentLinkedQueue<>();
     private final Core core;
     private final Thread thread;
     /** Microseconds by which rounds came after their due time; read by others through {@link #lateness()}. */
@@ -38,6 +39,12 @@
         return Duration.ofNanos(System.nanoTime() - born);
     }
 
+    /** Goes before all that waits: news of workers that drain must not stand in line. */
+    void postFirst(Consumer<Core> event) {
+        urgent.add(event);
+        if (asleep) { LockSupport.unpark(thread); }
+    }
+
     void post(Consumer<Core> event) {
         queue.add(event);
         if (asleep) { LockSupport.unpark(thread); }
@@ -61,6 +68,7 @@
         List<Consumer<Core>> batch = new ArrayList<>();
         core.round(now(), batch); // the module asks for its first wake-up
         while (!stopped) {
+            for (Consumer<Core> e; (e = urgent.poll()) != null;) { batch.add(e); }
             for (Consumer<Core> e; batch.size() < MOST_EVENTS && (e = queue.poll()) != null;) { batch.add(e); }
             Duration due = core.nextDue();
             Duration now = now();
@@ -86,7 +94,7 @@
 
     private void sleep(Duration due, Duration now) {
         asleep = true;
-        if (queue.isEmpty() && !stopped) {
+        if (queue.isEmpty() && urgent.isEmpty() && !stopped) {
             if (due == null) { LockSupport.park(this); } else { LockSupport.parkNanos(this, due.minus(now).toNanos()); }
         }
         asleep = false;
--- a/src/main/java/switchgap/gateway/Rehearsal.java
+++ b/src/main/java/switchgap/gateway/Rehearsal.java
@@ -51,7 +51,7 @@
                     new Answer(Answer.Kind.FINISHED, 200, Map.of(), new byte[0], null)));
             }
 
-            @Override public void abandon(Run run) { }
+            @Override public End abandon(Run run) { return End.TIMED_OUT; }
 
             @Override public void hold(Seen worker, String function, int copies, Order order) {
                 next.add(c -> c.orderEnded(order, End.FINISHED, copies));
--- a/src/main/java/switchgap/lab/Baseline.java
+++ b/src/main/java/switchgap/lab/Baseline.java
@@ -21,13 +21,15 @@
  */
 final class Baseline implements Core.Decider, Feed {
     private static final class Held {
+        final int job;
         final int workload;
         final int function;
         final Duration limit;
         int executions, out, mayHaveRun;
         boolean closed;
 
-        Held(int workload, int function, Duration limit) {
+        Held(int job, int workload, int function, Duration limit) {
+            this.job = job;
             this.workload = workload;
             this.function = function;
             this.limit = limit;
@@ -41,11 +43,12 @@
     private final List<Integer> ready = new ArrayList<>();
     private final Map<Integer, Standing> standing = new HashMap<>();
     private final Map<Integer, Held> held = new HashMap<>();
-    private final Map<Long, List<Integer>> loading = new HashMap<>();
+    private final Map<Long, List<Held>> loading = new HashMap<>();
     private final Map<Integer, Integer> flying = new HashMap<>();
     private Duration now = Duration.ZERO;
     private Decisions out;
     private int turn;
+    private boolean wakes;
 
     Baseline(Terms terms, boolean turns, long seed) {
         this.terms = terms;
@@ -63,7 +66,10 @@
             if (!h.closed && h.out == 0 && now.plus(margin.multipliedBy(2)).compareTo(h.limit) >= 0) { due.add(j); }
         });
         due.forEach(j -> giveUp(j, held.get(j)));
-        out.wake(margin, 0);
+        if (!wakes) {
+            wakes = true;
+            out.wake(margin, 0);
+        }
     }
 
     private void place(int job, Held h) {
@@ -124,7 +130,7 @@
 
     @Override public void job(int job, int workload, int customer, int function, long mark, Duration limit, Duration hint,
                               double memory, int lanes, Duration load, boolean repeat) {
-        Held h = new Held(workload, function, limit);
+        Held h = new Held(job, workload, function, limit);
         held.put(job, h);
         place(job, h);
     }
@@ -140,12 +146,12 @@
         h.closed |= closed;
         if (!h.closed && end == End.MISS && standing.get(worker) == Standing.READY) {
             long key = (long) worker << 32 | h.function;
-            List<Integer> wait = loading.get(key);
+            List<Held> wait = loading.get(key);
             if (wait == null) {
                 loading.put(key, wait = new ArrayList<>());
                 out.hold(worker, h.function, 1);
             }
-            wait.add(job);
+            wait.add(h);
         } else if (!h.closed) {
             if (h.mayHaveRun == 0 || terms.repeat(h.workload) == Repeat.RESTARTABLE) {
                 place(job, h);
@@ -157,11 +163,11 @@
     }
 
     @Override public void orderEnded(int worker, int function, End end, Duration took, int copies) {
-        List<Integer> wait = loading.remove((long) worker << 32 | function);
+        List<Held> wait = loading.remove((long) worker << 32 | function);
         if (wait == null) { return; }
-        for (int job : wait) {
-            Held h = held.get(job);
-            if (h == null || h.closed) { continue; }
+        for (Held h : wait) { // a job given up meanwhile may have left its index to another
+            int job = h.job;
+            if (held.get(job) != h || h.closed || h.out > 0) { continue; }
             if (copies > 0 && standing.get(worker) == Standing.READY && h.executions < terms.mostExecutions()
                 && now.plus(margin).compareTo(h.limit) < 0) {
                 send(job, h, worker);
@@ -177,7 +183,7 @@
         settle(job, h);
     }
 
-    @Override public void timer(long token) { }
+    @Override public void timer(long token) { wakes = false; }
 
     @Override public void probed(int worker, End end, Duration took, double busy, double atWork, double queued) { }
 }
--- a/src/main/java/switchgap/lab/EmulatedRouter.java
+++ b/src/main/java/switchgap/lab/EmulatedRouter.java
@@ -96,11 +96,12 @@
         });
     }
 
-    @Override public void abandon(Run run) {
+    @Override public End abandon(Run run) {
         Machine m = world.machine(run.worker.name);
         world.ticker.after(world.hop, () -> {
             if (m != null && run.exchange instanceof Machine.Work w) { m.leave(w); }
         });
+        return End.TIMED_OUT;
     }
 
     @Override public void hold(Seen worker, String function, int copies, Order order) {
--- a/src/main/java/switchgap/router/Core.java
+++ b/src/main/java/switchgap/router/Core.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import switchgap.Decide;
 import switchgap.port.Decisions;
@@ -174,6 +176,7 @@
     /** A version of the list, whole or its changes; a worker with a new address is a new process to the links. */
     public void list(boolean whole, List<Listed> lines) {
         feed.listBegins(whole);
+        Set<String> named = new HashSet<>();
         for (Listed l : lines) {
             Seen s = seen.get(l.name());
             if (s == null) {
@@ -187,9 +190,14 @@
                 workers.set(s.index, moved);
                 s = moved;
             }
+            named.add(l.name());
+            s.takesNew = l.standing() == Standing.READY;
             feed.worker(s.index, Names.mark(l.name()), l.standing(), l.zone(), l.cell(), l.kind(), l.size(),
                 l.started());
         }
+        for (Seen s : whole ? workers : List.<Seen>of()) {
+            if (s != null && !named.contains(s.name)) { s.takesNew = false; }
+        }
         feed.listEnds();
     }
 
@@ -236,9 +244,7 @@
             c.runs.add(r);
             r.timer = timers.at(now.plus(allow), () -> {
                 if (!r.ended) {
-                    End end = r.exchange instanceof Unsent u && u.unsent() ? u.end() : End.TIMED_OUT;
-                    outside.abandon(r);
-                    executionEnded(r, end, Loads.UNTOLD, null);
+                    executionEnded(r, outside.abandon(r), Loads.UNTOLD, null); // asked and ended in one: see Outside
                 }
             });
             outside.send(r, allow);
--- a/src/main/java/switchgap/router/Outside.java
+++ b/src/main/java/switchgap/router/Outside.java
@@ -1,14 +1,18 @@
 package switchgap.router;
 
 import java.time.Duration;
+import switchgap.port.End;
 
 /** The seam: what the core asks of the world. None of these calls back at once; what follows comes as an event. */
 public interface Outside {
     /** Begins an execution; its end is told by {@link Core#executionEnded}. */
     void send(Run run, Duration allow);
 
-    /** Ends an execution's exchange: a late answer must reach nobody. */
-    void abandon(Run run);
+    /**
+     * Ends an execution's exchange: a late answer must reach nobody. Tells what that proves: NOT_SENT or NO_CONNECTION
+     * where no byte of it went out and none will, else TIMED_OUT.
+     */
+    End abandon(Run run);
 
     /** Orders copies, or with 0 asks how many stand; the end is told by {@link Core#orderEnded}. */
     void hold(Seen worker, String function, int copies, Order order);
--- a/src/main/java/switchgap/router/Seen.java
+++ b/src/main/java/switchgap/router/Seen.java
@@ -6,6 +6,8 @@
     public final String host;
     public final int port;
     int index;
+    /** Whether anything new may go out to it: what was decided before it drained may still wait for a connection. */
+    public volatile boolean takesNew = true;
     /** The transport's own. */
     public volatile Object links;
 
--- a/src/main/java/switchgap/workers/Asked.java
+++ b/src/main/java/switchgap/workers/Asked.java
@@ -2,14 +2,14 @@
 
 import java.util.Map;
 import switchgap.port.End;
-import switchgap.router.Unsent;
+import switchgap.router.Seen;
 import switchgap.wire.HttpLink;
 
 /**
  * One exchange with a worker. Its states: WAITING for a connection (no byte has gone out), OUT on a link, OVER. The
  * pool's lock guards the state.
  */
-abstract class Asked implements HttpLink.Exchange, Unsent {
+abstract class Asked implements HttpLink.Exchange {
     private enum State { WAITING, OUT, OVER }
 
     final String method;
@@ -19,9 +19,11 @@
     private State state = State.WAITING;
     private HttpLink link;
     private long expires = Long.MAX_VALUE;
+    private final Seen worker;
     Pool pool;
 
-    Asked(String method, String path, Map<String, String> headers, byte[] body) {
+    Asked(Seen worker, String method, String path, Map<String, String> headers, byte[] body) {
+        this.worker = worker;
         this.method = method;
         this.path = path;
         this.headers = headers;
@@ -41,8 +43,11 @@
         expires = nanos;
     }
 
+    /**
+     * Takes a link, unless it is too late. Guards rule 3: what waited here while its worker began to drain does not go.
+     */
     final synchronized boolean go(HttpLink to) {
-        if (state != State.WAITING || expires != Long.MAX_VALUE && System.nanoTime() - expires >= 0) { return false; }
+        if (state != State.WAITING || !worker.takesNew || expires != Long.MAX_VALUE && System.nanoTime() - expires >= 0) { return false; }
         state = State.OUT;
         link = to;
         return true;
@@ -62,23 +67,25 @@
         return was;
     }
 
-    @Override public final synchronized boolean unsent() {
+    final synchronized boolean unsent() {
         return state == State.WAITING;
     }
 
-    /** Waiting because all connections were taken, or because none could be had. */
-    @Override public final End end() {
-        return pool != null && pool.open() > 0 ? End.NOT_SENT : End.NO_CONNECTION;
-    }
-
-    final void abandon() {
+    /**
+     * Ends it. Asking whether it was sent and ending it are one step: between two, a carrier could send it and a job
+     * that may have run would count as never sent (rule 2; seen on a day of crowded links).
+     */
+    final End abandon() {
         HttpLink l;
+        State was;
         synchronized (this) {
-            if (state == State.OVER) { return; }
+            was = state;
             state = State.OVER;
             l = link;
         }
-        if (l != null) { l.abandon(this); }
+        if (was == State.OUT && l != null) { l.abandon(this); }
+        if (was != State.WAITING) { return End.TIMED_OUT; }
+        return pool != null && pool.open() > 0 ? End.NOT_SENT : End.NO_CONNECTION; // all links taken, or none had
     }
 
     @Override public final void answered(int status, Map<String, String> head, byte[] content, boolean reusable) {
--- a/src/main/java/switchgap/workers/Inference.java
+++ b/src/main/java/switchgap/workers/Inference.java
@@ -51,15 +51,23 @@
         this.notes = notes;
     }
 
-    private Pool pool(Seen w) {
-        Pool p = (Pool) w.links;
-        if (p == null) {
-            p = new Pool(opener, new InetSocketAddress(w.host, w.port), bounds.connections(), bounds.waiting(),
-                bounds.connectWithin());
-            w.links = p;
-            pools.add(p);
+    /** A worker's links: an order holds its link for as long as a load takes, so orders have links of their own. */
+    private record Both(Pool jobs, Pool orders) { }
+
+    private Both both(Seen w) {
+        Both b = (Both) w.links;
+        if (b == null) {
+            b = new Both(pool(w), pool(w));
+            w.links = b;
+            pools.add(b.jobs);
+            pools.add(b.orders);
         }
-        return p;
+        return b;
+    }
+
+    private Pool pool(Seen w) {
+        return new Pool(opener, new InetSocketAddress(w.host, w.port), bounds.connections(), bounds.waiting(),
+            bounds.connectWithin());
     }
 
     /** Closes idle links; called now and then. */
@@ -85,7 +93,7 @@
         headers.put("X-Request-Id", run.name());
         if (run.call.contentType != null) { headers.put("Content-Type", run.call.contentType); }
         if (run.call.fingerprint != null) { headers.put("Idempotency-Key", run.call.fingerprint); }
-        Asked a = new Asked("POST", model(run.call.function) + "/infer", headers, run.call.body) {
+        Asked a = new Asked(run.worker, "POST", model(run.call.function) + "/infer", headers, run.call.body) {
             @Override void unsent(End end, String why) {
                 events.accept(c -> c.executionEnded(run, end, Loads.UNTOLD, null));
             }
@@ -109,7 +117,7 @@
         };
         run.exchange = a;
         a.expiresAt(System.nanoTime() + allow.toNanos());
-        Pool p = pool(run.worker);
+        Pool p = both(run.worker).jobs();
         carriers.carry(run.worker.port, () -> p.ask(a));
     }
 
@@ -129,8 +137,8 @@
         return on;
     }
 
-    @Override public void abandon(Run run) {
-        if (run.exchange instanceof Asked a) { a.abandon(); }
+    @Override public End abandon(Run run) {
+        return run.exchange instanceof Asked a ? a.abandon() : End.TIMED_OUT;
     }
 
     @Override public void abandon(Order order) {
@@ -139,8 +147,8 @@
 
     /** An exchange of an order or a probe: its end by what came of it. */
     private abstract class Errand extends Asked {
-        Errand(String method, String path, byte[] content) {
-            super(method, path, content.length == 0 ? Map.of() : Map.of("Content-Type", "application/json"), content);
+        Errand(Seen worker, String method, String path, byte[] content) {
+            super(worker, method, path, content.length == 0 ? Map.of() : Map.of("Content-Type", "application/json"), content);
         }
 
         abstract void end(End end, Orca orca);
@@ -158,7 +166,7 @@
     @Override public void hold(Seen worker, String function, int copies, Order order) {
         byte[] content = copies == 0 ? NOTHING
             : ("{\"parameters\":{\"copies\":" + copies + "}}").getBytes(StandardCharsets.UTF_8);
-        Asked a = new Errand(copies == 0 ? "GET" : "POST",
+        Asked a = new Errand(worker, copies == 0 ? "GET" : "POST",
             copies == 0 ? model(function) + "/ready" : repository(function, "load"), content) {
             @Override void end(End end, Orca orca) {
                 double told = orca.named("copies"); // a worker that tells no count: ready means one
@@ -167,22 +175,22 @@
             }
         };
         order.exchange = a;
-        pool(worker).ask(a);
+        both(worker).orders().ask(a);
     }
 
     @Override public void drop(Seen worker, String function) {
-        pool(worker).ask(new Errand("POST", repository(function, "unload"),
+        both(worker).orders().ask(new Errand(worker, "POST", repository(function, "unload"),
             "{\"parameters\":{\"idle_only\":true}}".getBytes(StandardCharsets.UTF_8)) {
             @Override void end(End end, Orca orca) { }
         });
     }
 
     @Override public void probe(Seen worker, Order order) {
-        Asked a = new Errand("GET", "/v2/health/ready", NOTHING) {
+        Asked a = new Errand(worker, "GET", "/v2/health/ready", NOTHING) {
             @Override void end(End end, Orca orca) { events.accept(c -> c.probed(order, end, orca.loads())); }
         };
         order.exchange = a;
-        pool(worker).ask(a);
+        both(worker).orders().ask(a);
     }
 
     @Override public void list() { askList.run(); }
--- a/src/test/java/switchgap/router/CoreTest.java
+++ b/src/test/java/switchgap/router/CoreTest.java
@@ -27,6 +27,7 @@
     private final List<String> said = new ArrayList<>();
     private final Core core = new Core(new PageTerms(Page.read("t", TERMS)), 1, this, ms(500), ms(50), 2);
     private Duration at = Duration.ZERO;
+    private End proves = End.TIMED_OUT;
 
     private static Duration ms(long n) { return Duration.ofMillis(n); }
 
@@ -101,6 +102,15 @@
         assertThat(core.outstanding()).isZero();
     }
 
+    @Test void anExecutionThatNeverWentOutIsNoReasonToKill() {
+        proves = End.NOT_SENT; // it waited for a connection until its time-out
+        list("a");
+        call(1, "f");
+        at(0);
+        until(1000);
+        assertThat(said).contains("PUSHED_BACK").doesNotContain("KILLED");
+    }
+
     @Test void aClientThatLeftGetsNothingAndItsExecutionIsAbandoned() {
         list("a");
         Call c = call(1, "f");
@@ -153,7 +163,10 @@
 
     @Override public void send(Run run, Duration allow) { sent.add(run); }
 
-    @Override public void abandon(Run run) { said.add("abandoned"); }
+    @Override public End abandon(Run run) {
+        said.add("abandoned");
+        return proves;
+    }
 
     @Override public void hold(Seen w, String f, int copies, Order o) {
         next.add(c -> c.orderEnded(o, End.FINISHED, Math.max(1, copies)));
