--- a/src/main/java/switchgap/day/Rig.java
+++ b/src/main/java/switchgap/day/Rig.java
@@ -70,11 +70,10 @@
         way = new SocketWay(ticker, net, clientLog, day.routers);
         clients = new Clients(ticker, way, catalogue, day.wishes.toArray(new Clients.Wish[0]), day.manner,
             day.rate, day.routerShares(), day.customers, day.seed + 1);
-        ports = new int[day.routers];
+        ports = freePorts(day.routers);
         for (int i = 0; i < day.workers; i++) { startWorker(false); }
         seedCopies();
         for (int i = 0; i < day.routers; i++) {
-            ports[i] = freePort();
             Path page = dir.resolve("router-" + i + ".yaml");
             Files.deleteIfExists(dir.resolve("router-" + i + ".log"));
             Files.writeString(page, day.routerPage(i, ports[i], list.port(), catalogue));
@@ -84,12 +83,20 @@
             way.router(i, ports[i]);
             clients.zone(i, day.zones.get(day.zoneOf(i)));
         }
-        for (int i = 0; withRouters && i < ports.length; i++) { awaitPort(ports[i]); }
+        for (int i = 0; withRouters && i < ports.length; i++) {
+            awaitPort(ports[i]);
+            if (!routers.get(i).runs()) { throw new IOException("router " + i + " has ended, see its log in " + dir); }
+        }
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return s.getLocalPort();
+    /** So many free ports, held together until all are known: asked for one by one they may all be the same. */
+    private static int[] freePorts(int n) throws IOException {
+        List<ServerSocket> open = new ArrayList<>();
+        try {
+            for (int i = 0; i < n; i++) { open.add(new ServerSocket(0)); }
+            return open.stream().mapToInt(ServerSocket::getLocalPort).toArray();
+        } finally {
+            for (ServerSocket o : open) { o.close(); }
         }
     }
 
--- a/src/main/java/switchgap/day/RouterHost.java
+++ b/src/main/java/switchgap/day/RouterHost.java
@@ -7,6 +7,8 @@
     /** Starts it; it must listen at the port that its page states. */
     void start() throws IOException;
 
+    boolean runs();
+
     /** The process dies at once. */
     void kill();
 
--- a/src/main/java/switchgap/day/RouterInside.java
+++ b/src/main/java/switchgap/day/RouterInside.java
@@ -14,6 +14,8 @@
 
     @Override public void start() throws IOException { gateway = new Gateway(GatewayPage.read(page)); }
 
+    @Override public boolean runs() { return gateway != null; }
+
     @Override public void kill() {
         if (gateway != null) { gateway.close(); }
         gateway = null;
--- a/src/main/java/switchgap/day/RouterProcess.java
+++ b/src/main/java/switchgap/day/RouterProcess.java
@@ -29,6 +29,8 @@
             .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString()))).start();
     }
 
+    @Override public boolean runs() { return process != null && process.isAlive(); }
+
     @Override public void kill() {
         if (process != null) { process.destroyForcibly(); }
     }
