--- a/src/main/java/switchgap/level/Ladder.java
+++ b/src/main/java/switchgap/level/Ladder.java
@@ -10,7 +10,7 @@
  */
 final class Ladder {
     /** Rung changes wait: for more of the same pressure, and for its being over. */
-    private static final double SLOWER_BACK = 3; // times: taking service back against giving it up
+    private static final double SLOWER_BACK = 1.5; // times: taking service back against giving it up
     private static final double FASTEST = 0.1;   // of the depth a second
     private final Rung[] rungs;
     private final Duration stay;
--- a/src/main/java/switchgap/level/Levels.java
+++ b/src/main/java/switchgap/level/Levels.java
@@ -23,6 +23,7 @@
     private static final double LEAVE = 0.4;      // of either mark: under it service is given back
     private static final double GAIN = 0.3;       // depth a second, for a share of one past the mark
     private static final double GIVE_BACK = 0.03; // depth a second, with nothing pressing at all
+    private static final double SLACK = 0.25;     // depth a second, for all cores idle: the crowd has gone
     private static final double ENOUGH = 8;       // calls of evidence, before service is given up
     private static final double OVER = 1.3;       // times the usual load for a share: a customer over its share
     private static final double STAY = 10;        // longest start targets: the shortest stay on a rung
@@ -176,12 +177,13 @@
         // Guards against a rung that lets nothing pass and so never hears that the crowd has gone.
         if (calls < ENOUGH / 4) { return -GIVE_BACK; }
         boolean idle = told >= ENOUGH / 2 && tells / told < BUSY; // crowds at one copy are the module's to spread
+        double slack = told >= ENOUGH / 2 ? Math.max(0, 0.8 * BUSY - tells / told) : 0;
         double times = told >= ENOUGH / 2 ? 1 : UNTOLD;
         double all = pressure() / CROWDED / times;
         double best = crowdedBest / Math.max(passedBest, Double.MIN_NORMAL) / PROTECTED / times;
         double worst = Math.max(all, passedBest < ENOUGH / 2 * most ? 0 : best);
         if (worst >= 1 && !idle) { return GAIN * (worst == all ? pressure() - CROWDED : (best - 1) * PROTECTED) + 0.01; }
-        return worst <= LEAVE || idle ? -GIVE_BACK * Math.max(0, 1 - worst / LEAVE) - 0.005 : 0;
+        return worst <= LEAVE || idle ? -GIVE_BACK * Math.max(0, 1 - worst / LEAVE) - 0.005 - SLACK * slack : 0;
     }
 
     /**
