--- a/src/main/java/switchgap/day/Rig.java
+++ b/src/main/java/switchgap/day/Rig.java
@@ -1,8 +1,6 @@
 package switchgap.day;
 
 import java.io.IOException;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -70,7 +68,7 @@
         way = new SocketWay(ticker, net, clientLog, day.routers);
         clients = new Clients(ticker, way, catalogue, day.wishes.toArray(new Clients.Wish[0]), day.manner,
             day.rate, day.routerShares(), day.customers, day.seed + 1);
-        ports = freePorts(day.routers);
+        ports = Ports.free(day.routers);
         for (int i = 0; i < day.workers; i++) { startWorker(false); }
         seedCopies();
         for (int i = 0; i < day.routers; i++) {
@@ -84,37 +82,11 @@
             clients.zone(i, day.zones.get(day.zoneOf(i)));
         }
         for (int i = 0; withRouters && i < ports.length; i++) {
-            awaitPort(ports[i]);
+            Ports.await(ports[i]);
             if (!routers.get(i).runs()) { throw new IOException("router " + i + " has ended, see its log in " + dir); }
         }
     }
 
-    /** So many free ports, held together until all are known: asked for one by one they may all be the same. */
-    private static int[] freePorts(int n) throws IOException {
-        List<ServerSocket> open = new ArrayList<>();
-        try {
-            for (int i = 0; i < n; i++) { open.add(new ServerSocket(0)); }
-            return open.stream().mapToInt(ServerSocket::getLocalPort).toArray();
-        } finally {
-            for (ServerSocket o : open) { o.close(); }
-        }
-    }
-
-    private static void awaitPort(int port) throws IOException {
-        for (long end = System.nanoTime() + 15_000_000_000L; ; ) {
-            try (Socket s = new Socket("127.0.0.1", port)) {
-                return;
-            } catch (IOException e) {
-                if (System.nanoTime() > end) { throw new IOException("a router does not listen at " + port, e); }
-                try {
-                    Thread.sleep(20);
-                } catch (InterruptedException x) {
-                    Thread.currentThread().interrupt();
-                }
-            }
-        }
-    }
-
     /** A worker of a new name, with its process; cold ones say when they started. */
     void startWorker(boolean cold) throws IOException {
         int n = next++;
--- a/src/main/java/switchgap/day/RouterProcess.java
+++ b/src/main/java/switchgap/day/RouterProcess.java
@@ -1,6 +1,5 @@
 package switchgap.day;
 
-import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,12 +20,9 @@
     }
 
     @Override public void start() throws IOException {
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        List<String> words = new ArrayList<>(List.of(java, "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-            "-cp", System.getProperty("java.class.path"), "switchgap.cli.Main", "router", page.toString()));
+        List<String> words = new ArrayList<>(List.of("router", page.toString()));
         if (baseline != null) { words.addAll(List.of("--baseline", baseline)); }
-        process = new ProcessBuilder(words)
-            .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString()))).start();
+        process = Child.start(log, List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"), words);
     }
 
     @Override public boolean runs() { return process != null && process.isAlive(); }
--- a/src/main/java/switchgap/lab/Speed.java
+++ b/src/main/java/switchgap/lab/Speed.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntFunction;
+import switchgap.day.Child;
+import switchgap.day.Ports;
 import switchgap.wire.Bounds;
 import switchgap.wire.HttpDoor;
 import switchgap.wire.Net;
@@ -25,6 +25,7 @@
 public final class Speed {
     private static final int WORKERS = 4;
     private static final int FUNCTIONS = 16;
+    private static final List<String> JVM = List.of("-Xmx1g");
 
     private Speed() { }
 
@@ -42,15 +43,16 @@
             for (int i = 0; i < WORKERS; i++) {
                 ports[i] = new HttpDoor(net, Bounds.USUAL, Speed::worker).listen("127.0.0.1", 0);
             }
-            int relayPort = free();
-            int routerPort = free();
+            int[] two = Ports.free(2);
+            int relayPort = two[0];
+            int routerPort = two[1];
             Path page = dir.resolve("router.yaml");
             Files.writeString(page, page(routerPort, ports));
-            children.add(child(dir.resolve("relay.log"), "lab", "relay", "--port", String.valueOf(relayPort), "--workers",
-                String.join(",", java.util.Arrays.stream(ports).mapToObj(String::valueOf).toList())));
-            children.add(child(dir.resolve("router.log"), "router", page.toString()));
-            await(relayPort);
-            await(routerPort);
+            children.add(Child.start(dir.resolve("relay.log"), JVM, List.of("lab", "relay", "--port", String.valueOf(relayPort),
+                "--workers", String.join(",", java.util.Arrays.stream(ports).mapToObj(String::valueOf).toList()))));
+            children.add(Child.start(dir.resolve("router.log"), JVM, List.of("router", page.toString())));
+            Ports.await(relayPort);
+            Ports.await(routerPort);
             IntFunction<String> invoke = i -> "/v1/functions/f" + i % FUNCTIONS + "/invoke";
             IntFunction<String> infer = i -> "/v2/models/f" + i % FUNCTIONS + "/infer";
             InetSocketAddress[] direct = java.util.Arrays.stream(ports).mapToObj(p -> new InetSocketAddress("127.0.0.1", p))
@@ -94,30 +96,6 @@
         r.answer(200, HEAD, OUTPUT);
     }
 
-    private static int free() throws IOException {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return s.getLocalPort();
-        }
-    }
-
-    static Process child(Path log, String... words) throws IOException {
-        List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx1g", "-cp", System.getProperty("java.class.path"), "switchgap.cli.Main"));
-        all.addAll(List.of(words));
-        return new ProcessBuilder(all).redirectErrorStream(true).redirectOutput(log.toFile()).start();
-    }
-
-    private static void await(int port) throws IOException, InterruptedException {
-        for (int i = 0; i < 500; i++) {
-            try (Socket s = new Socket("127.0.0.1", port)) {
-                return;
-            } catch (IOException e) {
-                Thread.sleep(20);
-            }
-        }
-        throw new IOException("nothing listens at " + port);
-    }
-
     private static String page(int port, int[] workers) {
         StringBuilder s = new StringBuilder("router: {number: 0, of: 1, tick: 5ms, executions: 3}\n"
             + "workloads:\n  w: {start_target: 400ms, time_limit: 2500ms, repeat: restartable}\n"
