--- a/src/main/java/switchgap/day/Day.java
+++ b/src/main/java/switchgap/day/Day.java
@@ -14,7 +14,6 @@
 import switchgap.standin.Catalogue;
 import switchgap.standin.Clients;
 import switchgap.standin.Machine;
-import switchgap.terms.BadPage;
 import switchgap.terms.Page;
 
 /** A day as its page states it: fleet, terms, load, script, seed. */
@@ -25,7 +24,6 @@
     /** One line of the script; {@code at} and {@code lasts} in microseconds of the day. */
     public record Trouble(long at, Verb verb, long lasts, double part, double size, String of) { }
 
-    final String file;
     final String name;
     final long length;
     final long seed;
@@ -56,7 +54,6 @@
 
     private Day(Path path, Page p, Map<String, Object> raw) {
         this.raw = raw;
-        file = path.toString();
         Page d = p.part("day");
         name = d.text("name", path.getFileName().toString().replaceAll("\\.ya?ml$", ""));
         length = micros(d.span("length"));
@@ -324,6 +321,4 @@
 
     /** Calls held at a router, at which a static cut-off turns the less important away: twice the routers' part of the slots. */
     public int staticHeld() { return Math.max(2, 2 * workers * slotsPerCore * 2 / routers / 3); }
-
-    static BadPage wrong(String file, String why) { return new BadPage(file, 1, why); }
 }
--- a/src/main/java/switchgap/day/DayRun.java
+++ b/src/main/java/switchgap/day/DayRun.java
@@ -35,16 +35,12 @@
     static void report(Rig rig, PrintStream out) {
         out.printf("%-16s %6s %6s %8s %6s %8s %7s %7s %11s %8s%n", "workload", "jobs", "tries", "finished", "late",
             "pushed", "killed", "gave up", "unreachable", "service");
-        double asked = 0;
-        double earned = 0;
         for (var e : rig.clients.tallies().entrySet()) {
             Clients.Tally t = e.getValue();
-            asked += t.asked;
-            earned += t.earned;
             out.printf("%-16s %6d %6d %8d %6d %8d %7d %7d %11d %8.3f%n", e.getKey(), t.jobs, t.tries, t.finished, t.late,
                 t.pushedBack, t.killed, t.gaveUp, t.unreachable, t.earned / Math.max(t.asked, 1e-9));
         }
         out.printf("service %.3f, worst 10 s %.3f, fetches from the store %d (simulated servers)%n",
-            earned / Math.max(asked, 1e-9), rig.clients.worst(10), rig.store.fetches());
+            rig.clients.service(), rig.clients.worst(10), rig.store.fetches());
     }
 }
--- /dev/null
+++ b/src/main/java/switchgap/day/LoadTroubles.java
@@ -0,0 +1,59 @@
+package switchgap.day;
+
+import java.util.Map;
+import switchgap.standin.Catalogue;
+import switchgap.standin.Clients;
+import switchgap.standin.Store;
+import switchgap.standin.Ticker;
+
+/** The troubles that clients, functions and the store bring: the same over sockets and in simulated time. */
+public final class LoadTroubles {
+    private final Ticker ticker;
+    private final Clients clients;
+    private final Catalogue catalogue;
+    private final Store store;
+    private final Map<String, Double> customers;
+
+    public LoadTroubles(Ticker ticker, Clients clients, Catalogue catalogue, Store store, Map<String, Double> customers) {
+        this.ticker = ticker;
+        this.clients = clients;
+        this.catalogue = catalogue;
+        this.store = store;
+        this.customers = customers;
+    }
+
+    /** Brings a trouble and ends it after its span; false where it is none of these. */
+    public boolean bring(Day.Trouble t) {
+        String customer = t.of() == null ? customers.keySet().iterator().next() : t.of();
+        switch (t.verb()) {
+            case BURST -> {
+                clients.burst(t.size());
+                ticker.after(t.lasts(), () -> clients.burst(1));
+            }
+            case CUSTOMER_BURST -> {
+                clients.burst(customer, t.size());
+                ticker.after(t.lasts(), () -> clients.burst(customer, 1));
+            }
+            case HAMMERING -> {
+                clients.hammer(customer);
+                ticker.after(t.lasts(), () -> clients.hammer(null));
+            }
+            case HOT_FUNCTIONS -> {
+                catalogue.hot(t.part(), (int) Math.max(1, t.size()));
+                ticker.after(t.lasts(), () -> catalogue.hot(0, 1));
+            }
+            case ONE_OFF_FUNCTIONS -> {
+                catalogue.once(t.part());
+                ticker.after(t.lasts(), () -> catalogue.once(0));
+            }
+            case STORE_SLOW -> {
+                store.slow(t.size());
+                ticker.after(t.lasts(), () -> store.slow(1));
+            }
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/src/main/java/switchgap/day/Rig.java
+++ b/src/main/java/switchgap/day/Rig.java
@@ -59,15 +59,14 @@
         clientLog = new Record(dir.resolve("clients.jsonl"));
         listLog = new Record(dir.resolve("list.jsonl"));
         scriptLog = new Record(dir.resolve("script.jsonl"));
-        catalogue = new Catalogue(day.likes, day.functions, day.zipf, day.seed);
+        catalogue = day.catalogue(day.seed);
         store = new Store(ticker, fleetLog, day.storeTakes, day.storeDown);
         storeService = new StoreService(ticker, net, store);
         toStore = new StoreService.Line(ticker, net, storeService.port());
         list = new ListService(ticker, net, listLog, day.listLag);
         fingerprints.add(new HashMap<>());
         way = new SocketWay(ticker, net, clientLog, day.routers);
-        clients = new Clients(ticker, way, catalogue, day.wishes.toArray(new Clients.Wish[0]), day.manner,
-            day.rate, day.routerShares(), day.customers, day.seed + 1);
+        clients = day.clients(ticker, way, catalogue, day.seed + 1);
         ports = Ports.free(day.routers);
         for (int i = 0; i < day.workers; i++) { startWorker(false); }
         seedCopies();
--- a/src/main/java/switchgap/day/Script.java
+++ b/src/main/java/switchgap/day/Script.java
@@ -11,10 +11,12 @@
 final class Script {
     private final Rig rig;
     private final Day day;
+    private final LoadTroubles loads;
 
     Script(Rig rig) {
         this.rig = rig;
         this.day = rig.day;
+        this.loads = new LoadTroubles(rig.ticker, rig.clients, rig.catalogue, rig.store, day.customers);
     }
 
     void start() {
@@ -26,6 +28,7 @@
     private void bring(Day.Trouble t) {
         rig.scriptLog.line(rig.ticker.now(), "trouble", "verb", t.verb().name(), "lasts", t.lasts(), "part", t.part(),
             "size", t.size());
+        if (loads.bring(t)) { return; }
         switch (t.verb()) {
             case SLOW -> {
                 List<ModelServer> some = rig.some(t.part());
@@ -41,26 +44,6 @@
             case OVERSIZED_ANSWERS -> fault(t, Faults.Kind.OVERSIZED);
             case CLOSED_AT_REQUEST -> fault(t, Faults.Kind.CLOSED_AT_REQUEST);
             case SLOW_CONNECTIONS -> fault(t, Faults.Kind.SLOW_CONNECT);
-            case BURST -> {
-                rig.clients.burst(t.size());
-                later(t.lasts(), () -> rig.clients.burst(1));
-            }
-            case CUSTOMER_BURST -> {
-                rig.clients.burst(customer(t), t.size());
-                later(t.lasts(), () -> rig.clients.burst(customer(t), 1));
-            }
-            case HAMMERING -> {
-                rig.clients.hammer(customer(t));
-                later(t.lasts(), () -> rig.clients.hammer(null));
-            }
-            case HOT_FUNCTIONS -> {
-                rig.catalogue.hot(t.part(), (int) Math.max(1, t.size()));
-                later(t.lasts(), () -> rig.catalogue.hot(0, 1));
-            }
-            case ONE_OFF_FUNCTIONS -> {
-                rig.catalogue.once(t.part());
-                later(t.lasts(), () -> rig.catalogue.once(0));
-            }
             case RELEASED_ANEW -> {
                 for (Model m : rig.catalogue.known()) {
                     if (rig.chance.nextDouble() < t.part()) {
@@ -72,10 +55,6 @@
                 rig.clients.moveTo(t.of() == null ? day.zones.get(0) : t.of());
                 later(t.lasts(), () -> rig.clients.moveTo(null));
             }
-            case STORE_SLOW -> {
-                rig.store.slow(t.size());
-                later(t.lasts(), () -> rig.store.slow(1));
-            }
             case LIST_LATE -> {
                 rig.list.lag(day.listLag + (long) (t.size() * 1e6));
                 later(t.lasts(), () -> rig.list.lag(day.listLag));
@@ -111,13 +90,10 @@
                     rig.scriptLog.line(rig.ticker.now(), "router-resumed", "router", r);
                 });
             }
+            default -> throw new IllegalStateException("nobody brings " + t.verb());
         }
     }
 
-    private String customer(Day.Trouble t) {
-        return t.of() == null ? day.customers.keySet().iterator().next() : t.of();
-    }
-
     private void fault(Day.Trouble t, Faults.Kind kind) {
         List<ModelServer> some = rig.some(t.part());
         some.forEach(s -> s.faults.set(kind, t.size()));
--- a/src/main/java/switchgap/gateway/Rehearsal.java
+++ b/src/main/java/switchgap/gateway/Rehearsal.java
@@ -48,7 +48,7 @@
         Outside outside = new Outside() {
             @Override public void send(Run run, Duration allow) {
                 next.add(c -> c.executionEnded(run, End.FINISHED, new Loads(0.2, 1, 0, 0),
-                    new Answer(Answer.Kind.FINISHED, 200, Map.of(), new byte[0], null)));
+                    Answer.finished(200, Map.of(), new byte[0])));
             }
 
             @Override public End abandon(Run run) { return End.TIMED_OUT; }
--- a/src/main/java/switchgap/invoke/InvokeApi.java
+++ b/src/main/java/switchgap/invoke/InvokeApi.java
@@ -269,7 +269,7 @@
 
     private void replyEnded(Request r, Deferred.Entry e) {
         Answer a = e.answer();
-        reply(r, a == null ? new Answer(Answer.Kind.KILLED, 0, Map.of(), new byte[0], null) : a, deferred.id(e), null,
+        reply(r, a == null ? Answer.killed() : a, deferred.id(e), null,
             e.call() == null ? null : e.call().met);
     }
 
@@ -297,7 +297,7 @@
         return h;
     }
 
-    private static void refuse(Request r, Problem p, String echo) {
+    static void refuse(Request r, Problem p, String echo) {
         Map<String, String> h = headers(null, echo);
         h.put("Content-Type", Problem.TYPE);
         if (p.members().get("end") != null) { h.put("Switchgap-End", String.valueOf(p.members().get("end"))); }
--- a/src/main/java/switchgap/invoke/LevelsDesk.java
+++ b/src/main/java/switchgap/invoke/LevelsDesk.java
@@ -27,7 +27,7 @@
     void asked(Request r, Gate gate) {
         Levels l = gate.levels();
         if (l == null) {
-            refuse(r, new Problem(404, "no-levels", "levels do not act at this router"));
+            InvokeApi.refuse(r, new Problem(404, "no-levels", "levels do not act at this router"), null);
             return;
         }
         if (r.method.equals("POST")) {
@@ -35,8 +35,8 @@
             for (Rung g : Rung.values()) { rung = Page.word(g).equals(r.asked("pin")) && g != Rung.SHARE ? g : rung; }
             long seconds = seconds(r.asked("seconds"));
             if (rung == null || seconds < 1 || seconds > LONGEST_PIN) {
-                refuse(r, new Problem(400, "malformed-pin", "pin must be full, least, most or hold, seconds from 1 to "
-                    + LONGEST_PIN));
+                InvokeApi.refuse(r, new Problem(400, "malformed-pin", "pin must be full, least, most or hold, seconds from 1 to "
+                    + LONGEST_PIN), null);
                 return;
             }
             gate.pin(rung, Duration.ofSeconds(seconds));
@@ -52,10 +52,6 @@
         }
     }
 
-    private static void refuse(Request r, Problem p) {
-        r.answer(p.status(), Map.of("Content-Type", Problem.TYPE), p.bytes());
-    }
-
     private byte[] show(Levels l) {
         ObjectNode n = JSON.createObjectNode();
         n.put("level", Page.word(l.rung())).put("depth", l.depth()).put("pinned", l.pinned()).put("pressure", l.pressure());
--- a/src/main/java/switchgap/lab/EmulatedRouter.java
+++ b/src/main/java/switchgap/lab/EmulatedRouter.java
@@ -92,7 +92,7 @@
                     case MISS -> End.MISS;
                     case FULL -> End.FULL;
                     default -> End.ERROR;
-                }, loads(m, crowd), new Answer(Answer.Kind.FINISHED, 200, Map.of(), NOTHING, null)))));
+                }, loads(m, crowd), Answer.finished(200, Map.of(), NOTHING)))));
         });
     }
 
--- a/src/main/java/switchgap/lab/Emulator.java
+++ b/src/main/java/switchgap/lab/Emulator.java
@@ -9,7 +9,7 @@
 import java.util.function.LongToDoubleFunction;
 import switchgap.Decide;
 import switchgap.day.Day;
-import switchgap.day.Verb;
+import switchgap.day.LoadTroubles;
 import switchgap.level.Change;
 import switchgap.level.Levels;
 import switchgap.port.Standing;
@@ -53,6 +53,7 @@
     private final Map<String, Boolean> ready = new LinkedHashMap<>();
     private final List<PageTerms> terms = new ArrayList<>();
     private final Store store;
+    private final LoadTroubles loads;
     private final SplittableRandom chance;
     private final long seed;
     private int next;
@@ -69,6 +70,7 @@
         store = new Store(ticker, nothing, day.storeTakes(), day.storeDown());
         clients = day.clients(ticker, this::send, catalogue, seed + 1);
         clients.curve(curve);
+        loads = new LoadTroubles(ticker, clients, catalogue, store, day.customers());
         for (int i = 0; i < day.workers(); i++) { start(false); }
         List<Machine> all = List.copyOf(machines.values());
         for (Model m : catalogue.known()) { all.get(Math.floorMod(m.name().hashCode() * 31, all.size())).seed(m); }
@@ -150,7 +152,7 @@
                 Duration.ofNanos((long) (t.model().work() * 1000)), t.key(), null, new byte[0], e.memory(), e.lanes(), e.load(),
                 false, false, asker);
             if (before == Before.STATIC && cutOff(r, t.model().workload(), own)) {
-                asker.answered(call[0], new Answer(Answer.Kind.PUSHED_BACK, 0, Map.of(), new byte[0], Duration.ofMillis(500)));
+                asker.answered(call[0], Answer.pushedBack(Duration.ofMillis(500)));
             } else if (!r.gate().offer(call[0])) {
                 ticker.after(hop, () -> over(over, then, "refused", 503, -1));
             }
@@ -167,7 +169,7 @@
     private boolean cutOff(EmulatedRouter r, int workload, Terms t) {
         double most = 0;
         for (int w = 0; w < t.workloads(); w++) { most = Math.max(most, t.importance(w)); }
-        return t.importance(workload) < most && r.gate().core().held() >= Math.max(2, day.staticHeld());
+        return t.importance(workload) < most && r.gate().core().held() >= day.staticHeld();
     }
 
     private static void over(boolean[] over, Way.Ending then, String end, int status, long comeBack) {
@@ -191,37 +193,13 @@
     }
 
     private void bring(Day.Trouble t) {
-        String customer = t.of() == null ? day.customers().keySet().iterator().next() : t.of();
+        if (loads.bring(t)) { return; }
         switch (t.verb()) {
             case SLOW -> {
                 List<Machine> some = some(t.part());
                 some.forEach(m -> m.slow(t.size()));
                 ticker.after(t.lasts(), () -> some.forEach(m -> m.slow(1)));
             }
-            case BURST -> {
-                clients.burst(t.size());
-                ticker.after(t.lasts(), () -> clients.burst(1));
-            }
-            case CUSTOMER_BURST -> {
-                clients.burst(customer, t.size());
-                ticker.after(t.lasts(), () -> clients.burst(customer, 1));
-            }
-            case HAMMERING -> {
-                clients.hammer(customer);
-                ticker.after(t.lasts(), () -> clients.hammer(null));
-            }
-            case HOT_FUNCTIONS -> {
-                catalogue.hot(t.part(), (int) Math.max(1, t.size()));
-                ticker.after(t.lasts(), () -> catalogue.hot(0, 1));
-            }
-            case ONE_OFF_FUNCTIONS -> {
-                catalogue.once(t.part());
-                ticker.after(t.lasts(), () -> catalogue.once(0));
-            }
-            case STORE_SLOW -> {
-                store.slow(t.size());
-                ticker.after(t.lasts(), () -> store.slow(1));
-            }
             case WORKERS_KILLED -> some(t.part()).forEach(m -> {
                 m.die();
                 ticker.after(t.lasts(), () -> {
@@ -244,13 +222,4 @@
         while (all.size() > n) { all.remove(chance.nextInt(all.size())); }
         return all;
     }
-
-    /** Whether the emulator can bring a trouble. */
-    static boolean brings(Verb v) {
-        return switch (v) {
-            case SLOW, BURST, CUSTOMER_BURST, HAMMERING, HOT_FUNCTIONS, ONE_OFF_FUNCTIONS, STORE_SLOW, WORKERS_KILLED,
-                ROUTERS_RESTARTED -> true;
-            default -> false;
-        };
-    }
 }
--- a/src/main/java/switchgap/lab/Experiment.java
+++ b/src/main/java/switchgap/lab/Experiment.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -75,7 +74,7 @@
             first.inTarget.keySet().forEach(w -> met.append(String.format("%s %.3f  ", w,
                 of.stream().mapToDouble(t -> t.inTarget.get(w)).average().orElse(0))));
             StringBuilder at = new StringBuilder();
-            first.timeAt.forEach((r, s) -> { if (s > 0) { at.append(String.format("%s %.0f s ", r.name().toLowerCase(Locale.ROOT), s)); } });
+            first.timeAt.forEach((r, s) -> { if (s > 0) { at.append(String.format("%s %.0f s ", Page.word(r), s)); } });
             out.printf("%-8s %.3f%-22s %6.3f  %-40s %8.1f %8.0f %6d %5.2f %s%n", word(v), of.stream().mapToDouble(t -> t.service)
                 .average().orElse(0), each, first.bound, met, of.stream().mapToDouble(t -> t.changes / (double)
                 x.day.routers()).average().orElse(0), of.stream().mapToDouble(t -> t.mostChangesAtOneRouter).max().orElse(0),
--- a/src/main/java/switchgap/lab/Report.java
+++ b/src/main/java/switchgap/lab/Report.java
@@ -18,6 +18,7 @@
 import org.knowm.xchart.style.markers.SeriesMarkers;
 import switchgap.day.Day;
 import switchgap.level.Rung;
+import switchgap.terms.Page;
 
 /** An experiment as one page with its plots inside. */
 final class Report {
@@ -116,7 +117,7 @@
     private static CategoryChart times(List<Trial> one) {
         CategoryChart c = new CategoryChartBuilder().width(1000).height(320).title("Seconds at each level, mean of the routers").build();
         one.stream().filter(t -> !t.timeAt.isEmpty()).forEach(t -> c.addSeries(Experiment.word(t.variant),
-            t.timeAt.keySet().stream().filter(r -> r != Rung.SHARE).map(r -> r.name().toLowerCase(Locale.ROOT)).toList(),
+            t.timeAt.keySet().stream().filter(r -> r != Rung.SHARE).map(Page::word).toList(),
             t.timeAt.entrySet().stream().filter(e -> e.getKey() != Rung.SHARE).map(e -> e.getValue()).toList()));
         if (c.getSeriesMap().isEmpty()) { c.addSeries("no levels", List.of("full"), List.of(0)); }
         return c;
--- a/src/main/java/switchgap/lab/Trial.java
+++ b/src/main/java/switchgap/lab/Trial.java
@@ -20,11 +20,10 @@
     /** Start targets met, by workload. */
     final Map<String, Double> inTarget = new TreeMap<>();
     final Map<String, Double> byCustomer = new TreeMap<>();
-    final Map<String, Long> pushedBack = new TreeMap<>();
     /** For each second: load, worth earned over asked, mean depth of the common ladder (rung + depth), share of routers below full. */
     final List<double[]> course = new ArrayList<>();
     final Map<Rung, Double> timeAt = new TreeMap<>();
-    final int changes, customerChanges;
+    final int changes;
     final double mostChangesAtOneRouter;
     /** Seconds from the first second after which load stays under 0.7 until all routers stay at full service; -1 never. */
     final long backAfter;
@@ -53,28 +52,21 @@
             }
             course.add(new double[] {curve.at(s * 1_000_000), 0, depth / e.routers.size(), below / (double) e.routers.size()});
         });
-        double asked = 0;
-        double earned = 0;
         for (var t : e.clients.tallies().entrySet()) {
             Clients.Tally v = t.getValue();
-            asked += v.asked;
-            earned += v.earned;
             inTarget.put(t.getKey(), (v.finished - v.late) / (double) Math.max(1, v.jobs));
-            pushedBack.put(t.getKey(), v.pushedBack);
         }
-        service = earned / Math.max(asked, 1e-9);
+        service = e.clients.service();
         e.clients.customers().forEach((c, v) -> byCustomer.put(c, v[1] / Math.max(v[0], 1e-9)));
         e.clients.seconds().forEach((s, v) -> {
             if (s < course.size()) { course.get(s.intValue())[1] = v[1] / Math.max(v[0], 1e-9); }
         });
         bound = bound(day, curve);
         int[] each = new int[e.routers.size()];
-        int own = 0;
         for (Emulator.Seen c : e.changes) {
-            if (c.change().customer() < 0) { each[c.router()]++; } else { own++; }
+            if (c.change().customer() < 0) { each[c.router()]++; }
         }
         changes = Arrays.stream(each).sum();
-        customerChanges = own;
         mostChangesAtOneRouter = Arrays.stream(each).max().orElse(0);
         for (EmulatedRouter r : e.routers) {
             if (r.gate().levels() != null) {
--- a/src/main/java/switchgap/level/Ladder.java
+++ b/src/main/java/switchgap/level/Ladder.java
@@ -36,8 +36,6 @@
     /** The share pushed back of what the rung may push back; a pinned rung pushes back all of it. */
     double depth() { return pinned != null ? 1 : depth; }
 
-    Duration since() { return since; }
-
     boolean pinned() { return pinned != null; }
 
     void pin(Rung r, Duration until) {
--- a/src/main/java/switchgap/router/Answer.java
+++ b/src/main/java/switchgap/router/Answer.java
@@ -11,15 +11,15 @@
     /** The three ends that a call may have. */
     public enum Kind { FINISHED, PUSHED_BACK, KILLED }
 
-    static Answer pushedBack(Duration comeBack) {
+    public static Answer pushedBack(Duration comeBack) {
         return new Answer(Kind.PUSHED_BACK, 0, Map.of(), new byte[0], comeBack);
     }
 
-    static Answer killed() {
+    public static Answer killed() {
         return new Answer(Kind.KILLED, 0, Map.of(), new byte[0], null);
     }
 
-    static Answer finished(int status, Map<String, String> headers, byte[] body) {
+    public static Answer finished(int status, Map<String, String> headers, byte[] body) {
         return new Answer(Kind.FINISHED, status, headers, body, null);
     }
 }
--- a/src/main/java/switchgap/standin/Clients.java
+++ b/src/main/java/switchgap/standin/Clients.java
@@ -119,6 +119,12 @@
 
     public Map<String, Tally> tallies() { return tallies; }
 
+    /** Worth earned over worth asked for, over all workloads. */
+    public double service() {
+        double asked = tallies.values().stream().mapToDouble(t -> t.asked).sum();
+        return tallies.values().stream().mapToDouble(t -> t.earned).sum() / Math.max(asked, 1e-9);
+    }
+
     /** Worth earned over worth asked for in the worst window of so many seconds. */
     public double worst(int seconds) {
         double worst = 1;
--- a/src/main/java/switchgap/wire/HttpLink.java
+++ b/src/main/java/switchgap/wire/HttpLink.java
@@ -192,11 +192,6 @@
         return connection.isOpen() && !surplus;
     }
 
-    /** Whether the other side sent bytes that nobody had asked for. */
-    public boolean spokeUnasked() {
-        return surplus;
-    }
-
     /** The local address and port. */
     public InetSocketAddress local() {
         return (InetSocketAddress) connection.getLocalAddress();
--- a/src/main/java/switchgap/workers/Inference.java
+++ b/src/main/java/switchgap/workers/Inference.java
@@ -106,8 +106,7 @@
                 }
                 Orca orca = Orca.read(head);
                 End end = proof(status, orca);
-                Answer answer = end == End.FINISHED ? new Answer(Answer.Kind.FINISHED, status, passedOn(head), content,
-                    null) : null;
+                Answer answer = end == End.FINISHED ? Answer.finished(status, passedOn(head), content) : null;
                 events.accept(c -> c.executionEnded(run, end, orca.loads(), answer));
             }
 
