A drop order has a time limit: at a silent worker each took a link for ever

Seen: at a worker that takes bytes and answers nothing, each order to unload kept its link of the orders' pool without an end; when all were taken no load order, question or probe went out to that worker again, though it had recovered. Ruled out: load orders and probes (given up after their limits by the core). At fault: Core.Carrier.drop, which asked without an Order, and Inference.drop, which nobody could end. Change: a drop is an Order like the others, given up after the limit of an order; its end stops the timer. Before: a probe after one drop at one link timed out; after: answered.

--- a/src/main/java/switchgap/gateway/Planned.java
+++ b/src/main/java/switchgap/gateway/Planned.java
@@ -164,7 +164,7 @@
 
     @Override public End abandon(Run run) { return inner.abandon(run); }
 
-    @Override public void drop(Seen worker, String function) { inner.drop(worker, function); }
+    @Override public void drop(Seen worker, String function, Order order) { inner.drop(worker, function, order); }
 
     @Override public void refuses(Seen worker, boolean forGood) { inner.refuses(worker, forGood); }
 
--- a/src/main/java/switchgap/gateway/Rehearsal.java
+++ b/src/main/java/switchgap/gateway/Rehearsal.java
@@ -57,7 +57,7 @@
                 next.add(c -> c.orderEnded(order, End.FINISHED, copies));
             }
 
-            @Override public void drop(Seen worker, String function) { }
+            @Override public void drop(Seen worker, String function, Order order) { }
 
             @Override public void probe(Seen worker, Order order) {
                 next.add(c -> c.probed(order, End.FINISHED, Loads.UNTOLD));
--- a/src/main/java/switchgap/lab/EmulatedRouter.java
+++ b/src/main/java/switchgap/lab/EmulatedRouter.java
@@ -120,9 +120,10 @@
         });
     }
 
-    @Override public void drop(Seen worker, String function) {
+    @Override public void drop(Seen worker, String function, Order order) {
         Machine m = world.machine(worker.name);
         if (m != null) { world.ticker.after(world.hop, () -> m.drop(function)); }
+        world.ticker.after(2 * world.hop, () -> post(c -> c.dropEnded(order)));
     }
 
     @Override public void probe(Seen worker, Order order) {
--- a/src/main/java/switchgap/router/Core.java
+++ b/src/main/java/switchgap/router/Core.java
@@ -171,6 +171,11 @@
         }
     }
 
+    public void dropEnded(Order o) {
+        o.ended = true;
+        timers.stop(o.timer);
+    }
+
     public void probed(Order o, End end, Loads loads) {
         if (o.ended) { return; }
         o.ended = true;
@@ -297,7 +302,12 @@
         }
 
         @Override public void drop(int worker, int function) {
-            outside.drop(workers.get(worker), functions.name(function));
+            Order o = new Order(workers.get(worker), function, now);
+            o.timer = timers.at(now.plus(orderLimit), () -> { // or each one at a silent worker keeps a link for ever
+                o.ended = true;
+                outside.abandon(o);
+            });
+            outside.drop(o.worker, functions.name(function), o);
         }
 
         @Override public void probe(int worker) {
--- a/src/main/java/switchgap/router/Outside.java
+++ b/src/main/java/switchgap/router/Outside.java
@@ -17,7 +17,8 @@
     /** Orders copies, or with 0 asks how many stand; the end is told by {@link Core#orderEnded}. */
     void hold(Seen worker, String function, int copies, Order order);
 
-    void drop(Seen worker, String function);
+    /** Has idle copies unloaded; the end is told by {@link Core#dropEnded}. */
+    void drop(Seen worker, String function, Order order);
 
     /** Asks a worker for its load; the end is told by {@link Core#probed}. */
     void probe(Seen worker, Order order);
--- a/src/main/java/switchgap/workers/Inference.java
+++ b/src/main/java/switchgap/workers/Inference.java
@@ -188,11 +188,13 @@
         both(worker).orders().ask(a);
     }
 
-    @Override public void drop(Seen worker, String function) {
-        both(worker).orders().ask(new Errand(worker, "POST", repository(function, "unload"),
+    @Override public void drop(Seen worker, String function, Order order) {
+        Asked a = new Errand(worker, "POST", repository(function, "unload"),
             "{\"parameters\":{\"idle_only\":true}}".getBytes(StandardCharsets.UTF_8)) {
-            @Override void end(End end, Orca orca) { }
-        });
+            @Override void end(End end, Orca orca) { events.accept(c -> c.dropEnded(order)); }
+        };
+        order.exchange = a;
+        both(worker).orders().ask(a);
     }
 
     @Override public void probe(Seen worker, Order order) {
--- a/src/test/java/switchgap/router/CoreTest.java
+++ b/src/test/java/switchgap/router/CoreTest.java
@@ -172,7 +172,7 @@
         next.add(c -> c.orderEnded(o, End.FINISHED, Math.max(1, copies)));
     }
 
-    @Override public void drop(Seen worker, String function) { }
+    @Override public void drop(Seen worker, String function, Order order) { }
 
     @Override public void probe(Seen worker, Order order) { }
 
--- a/src/test/java/switchgap/router/LinksTest.java
+++ b/src/test/java/switchgap/router/LinksTest.java
@@ -162,6 +162,19 @@
         assertThat(heard).containsExactlyInAnyOrder(j + " NO_CONNECTION", "probed NO_CONNECTION", "ordered NO_CONNECTION");
     }
 
+    @Test void aDropAtAWorkerThatIsSilentGivesItsLinkBack() throws Exception {
+        try (Peer w = new Peer((q, out) -> !q.line().contains("/unload") ? Peer.well(q, out) : Peer.silent(q, out))) {
+            links(1);
+            list("127.0.0.1", w.port(), Standing.READY);
+            job();
+            say.add(d -> d.drop(0, 0));
+            assertThat(until(2000, () -> w.asked.stream().anyMatch(a -> a.line().contains("/unload")))).isTrue();
+            assertThat(until(500, () -> false)).isFalse(); // past the limit of an order
+            say.add(d -> d.probe(0));
+            assertThat(until(1000, () -> heard.contains("probed FINISHED"))).as(heard.toString()).isTrue();
+        }
+    }
+
     @Test void linksOfAWorkerThatIsGoneOrMovedAreClosedAndForgotten() throws Exception {
         try (Peer a = new Peer(Peer::well); Peer b = new Peer(Peer::well)) {
             links(4);
