All that wait for a worker that refuses connections are told, not only as many as links

Seen: with two links allowed and six jobs for a worker whose port refuses, two heard NO_CONNECTION at once and four only at their time-outs: after the last failed attempt nothing opened a further one. Ruled out: the opener (each attempt ends once, within its span). At fault: Pool.openMore, failed(): one exchange ended, none of those left behind was tried. Change: a failed attempt opens for what still waits; each attempt ends one of them, so it ends.

--- a/src/main/java/switchgap/workers/Pool.java
+++ b/src/main/java/switchgap/workers/Pool.java
@@ -103,6 +103,7 @@
                         a = waiting.size() > opening ? next() : null;
                     }
                     if (a != null && a.over()) { a.unsent(End.NO_CONNECTION, why); }
+                    openMore(); // more may wait than links may be open: each is tried, and told, in its turn
                 }
             });
         }
--- a/src/test/java/switchgap/router/LinksTest.java
+++ b/src/test/java/switchgap/router/LinksTest.java
@@ -152,6 +152,16 @@
         }
     }
 
+    @Test void moreThanTheLinksWaitForAWorkerThatRefusesAndAllAreTold() throws Exception {
+        int dead;
+        try (Peer gone = new Peer(Peer::silent)) { dead = gone.port(); }
+        links(2);
+        list("127.0.0.1", dead, Standing.READY);
+        for (int i = 0; i < 6; i++) { job(); }
+        assertThat(until(2000, () -> heard.size() == 6)).as(heard.toString()).isTrue();
+        assertThat(Set.copyOf(heard)).allMatch(h -> h.endsWith("NO_CONNECTION"));
+    }
+
     @Test void anAddressThatIsNoneEndsWhatIsSentThereAndNothingElse() throws Exception {
         links(2);
         list("::g", 80, Standing.READY);
