An exchange abandoned just before its write frees its link

Seen by reading: between Asked.go (state OUT) and HttpLink.ask (exchange set on the link) the loop can abandon; the link did not know the exchange yet, so the abandon closed nothing, and the write then put it on the link with nobody left to end it: at a silent worker that link was lost for good. Ruled out: a second execution (abandon had told TIMED_OUT, which counts as may have run). At fault: Pool.put. Change: after the write the pool looks whether the exchange is over meanwhile, and abandons it on the link. Before: with one link the next exchange waited without end; after: it is answered.

--- a/src/main/java/switchgap/router/Seen.java
+++ b/src/main/java/switchgap/router/Seen.java
@@ -11,7 +11,7 @@
     /** The transport's own. */
     public volatile Object links;
 
-    Seen(String name, String host, int port, int index) {
+    public Seen(String name, String host, int port, int index) {
         this.name = name;
         this.host = host;
         this.port = port;
--- a/src/main/java/switchgap/workers/Asked.java
+++ b/src/main/java/switchgap/workers/Asked.java
@@ -72,6 +72,8 @@
         return was;
     }
 
+    final synchronized boolean isOver() { return state == State.OVER; }
+
     final synchronized boolean unsent() {
         return state == State.WAITING;
     }
--- a/src/main/java/switchgap/workers/Pool.java
+++ b/src/main/java/switchgap/workers/Pool.java
@@ -74,6 +74,8 @@
             back(link);
         } else if (!link.ask(a.method, a.path, a.headers, a.body, a)) {
             if (a.back()) { ask(a); }
+        } else if (a.isOver()) {
+            link.abandon(a); // abandoned just before it went out: nobody would ever end it, nor free its link
         }
     }
 
--- /dev/null
+++ b/src/test/java/switchgap/workers/AskedTest.java
@@ -0,0 +1,56 @@
+package switchgap.workers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import switchgap.gateway.Peer;
+import switchgap.port.End;
+import switchgap.router.Seen;
+import switchgap.wire.HttpLink;
+import switchgap.wire.Net;
+
+/** Steps of an exchange that two threads can take at once, taken one after the other in the worst order. */
+class AskedTest {
+    /** Given up by the loop between the carrier's look and its write: the link was kept by an exchange that nobody would end. */
+    @Test void anExchangeAbandonedJustBeforeItGoesOutFreesItsLink() throws Exception {
+        List<String> heard = new CopyOnWriteArrayList<>();
+        try (Net net = new Net(1, "asked"); Peer w = new Peer(Peer::silent)) {
+            Pool pool = new Pool(new HttpLink.Opener(net, null, 1024), new InetSocketAddress("127.0.0.1", w.port()), 1, 10, Duration.ofSeconds(1));
+            CompletableFuture<End> given = new CompletableFuture<>();
+            pool.ask(new Told(heard) {
+                @Override synchronized boolean go(HttpLink to) {
+                    boolean goes = super.go(to);
+                    given.complete(abandon());
+                    return goes;
+                }
+            });
+            assertThat(given.get(2, TimeUnit.SECONDS)).isEqualTo(End.TIMED_OUT); // it may have gone out, and counts so
+            w.manner(Peer::well);
+            pool.ask(new Told(heard));
+            for (int i = 0; i < 100 && heard.isEmpty(); i++) { Thread.sleep(10); }
+            assertThat(heard).containsExactly("replied 200");
+        }
+    }
+
+    private static class Told extends Asked {
+        private final List<String> heard;
+
+        Told(List<String> heard) {
+            super(new Seen("w", "127.0.0.1", 1, 0), "GET", "/", Map.of(), new byte[0]);
+            this.heard = heard;
+        }
+
+        @Override void unsent(End end, String why) { heard.add("unsent " + end); }
+
+        @Override void replied(int status, Map<String, String> head, byte[] content) { heard.add("replied " + status); }
+
+        @Override void lost(String why) { heard.add("lost"); }
+    }
+}
