A deferred call that a level pushes back is answered at once, not parked to be offered again

Seen: while a level pushed a deferred call back the gate kept it and offered it again until two start targets before its limit; a client that asked meanwhile heard "held" for a call already given up. The parked calls also stood outside the core's tally of what is held. Ruled out: the module (what waits in it is given up as soon as its usual time no longer fits; what waits for a load may still be finished). At fault: Gate.offer and Gate.again. Before: "held" after the pushback was settled (test red); after: "pushed-back" with its level.

--- a/src/main/java/switchgap/gateway/Rehearsal.java
+++ b/src/main/java/switchgap/gateway/Rehearsal.java
@@ -84,7 +84,7 @@
         for (int i = 0; i < CALLS && System.nanoTime() - began < MOST.toNanos(); i++) {
             Duration at = Duration.ofMillis(2L * i);
             Call call = new Call("rehearsal", "rehearsal-" + i % 20, i % terms.workloads(), -1,
-                at.plus(terms.timeLimit(i % terms.workloads())), null, null, null, new byte[0], 1, 2, null, false, false, nobody);
+                at.plus(terms.timeLimit(i % terms.workloads())), null, null, null, new byte[0], 1, 2, null, false, nobody);
             next.add(c -> c.callCame(call));
             List<Consumer<Core>> now = List.copyOf(next);
             next.clear();
--- a/src/main/java/switchgap/invoke/InvokeApi.java
+++ b/src/main/java/switchgap/invoke/InvokeApi.java
@@ -157,7 +157,7 @@
     private static Call call(Ask a, Request r, Duration limit, String id, Asker asker) {
         return new Call(id, a.function(), a.workload(), a.customer(), limit, a.hint(), a.fingerprint(),
             r.header("Content-Type"), r.body, a.entry().memory(), a.entry().lanes(), a.entry().load(), a.repeat(),
-            a.deferred(), asker);
+            asker);
     }
 
     @Override public void left(Request r) {
--- a/src/main/java/switchgap/lab/Emulator.java
+++ b/src/main/java/switchgap/lab/Emulator.java
@@ -146,7 +146,7 @@
             call[0] = new Call(t.call(), t.model().name(), t.model().workload(), own.customer(t.customer()),
                 r.now().plus(Duration.ofNanos((t.limit() - ticker.now()) * 1000)),
                 Duration.ofNanos((long) (t.model().work() * 1000)), t.key(), null, new byte[0], e.memory(), e.lanes(), e.load(),
-                false, false, asker);
+                false, asker);
             if (variant.before() == Variant.Before.STATIC && cutOff(r, t.model().workload(), own)) {
                 asker.answered(call[0], Answer.pushedBack(Duration.ofMillis(500)));
             } else if (!r.gate().offer(call[0])) {
--- a/src/main/java/switchgap/router/Call.java
+++ b/src/main/java/switchgap/router/Call.java
@@ -30,8 +30,6 @@
     public final boolean repeat;
     /** Whoever is told of the end. */
     public final Asker asker;
-    /** Whether the client polls for the answer: it may wait a while before it is offered again. */
-    public final boolean deferred;
     /** The reduced level that pushed it back, null where none did. */
     public Rung met;
     State state = State.HELD;
@@ -41,7 +39,7 @@
 
     public Call(String id, String function, int workload, int customer, Duration limit, Duration hint,
                 String fingerprint, String contentType, byte[] body, double memory, int lanes, Duration load,
-                boolean repeat, boolean deferred, Asker asker) {
+                boolean repeat, Asker asker) {
         this.id = id;
         this.function = function;
         this.workload = workload;
@@ -55,7 +53,6 @@
         this.lanes = lanes;
         this.load = load;
         this.repeat = repeat;
-        this.deferred = deferred;
         this.asker = asker;
     }
 
--- a/src/main/java/switchgap/router/Gate.java
+++ b/src/main/java/switchgap/router/Gate.java
@@ -46,21 +46,10 @@
         Verdict v = levels.offered(core.now(), c.customer, c.workload, c.function.hashCode());
         tell();
         if (v.passes()) { return core.callCame(c); }
-        Duration left = c.limit.minus(core.now());
-        Duration need = terms.startTarget(c.workload).multipliedBy(2);
-        if (c.deferred && left.compareTo(need) > 0) { // nobody waits on a connection: offered again while there is time
-            Duration wait = left.minus(need).dividedBy(3).plusMillis(50);
-            core.later(core.now().plus(wait), () -> again(c));
-            return true;
-        }
-        pushBack(c, v);
+        pushBack(c, v); // deferred ones too: to give up is to answer now
         return true;
     }
 
-    private void again(Call c) {
-        if (c.state == Call.State.HELD && !offer(c)) { pushBack(c, new Verdict(false, Rung.HOLD, null)); }
-    }
-
     private void pushBack(Call c, Verdict v) {
         if (c.limit.compareTo(core.now()) <= 0) {
             c.state = Call.State.OVERDUE;
