The pace of loads has one owner, the module; the planner settles their order alone

Seen: with a planner in the page and none running each load order sent stayed in Planned.out for good (20,000 after 20,000 orders); a planner that then linked was told of thousands that had ended, nearly all slow, as their time ran until the next word to a planner. Ruled out: Wishes (in all orders of events nothing stays behind). The message told lost three members, so the link speaks version 2 and refuses 1 by name.

--- a/src/main/java/switchgap/gateway/Planned.java
+++ b/src/main/java/switchgap/gateway/Planned.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -24,10 +23,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Planned.class);
     private static final int MOST_WAITING = 1024;
 
-    /** An order that waits or is out. */
-    private record Held(Seen worker, String function, int copies, Order order, long load) { }
-
-    private record Sent(Order order, Duration at, long load) { }
+    /** An order that waits. */
+    private record Held(Seen worker, String function, int copies, Order order) { }
 
     /** Tells the planner; false where it was not told. */
     interface Teller {
@@ -40,11 +37,9 @@
     private final Wishes wishes;
     private final Map<Long, Held> held = new HashMap<>();
     private final Map<Order, Long> ids = new HashMap<>();
-    private final Map<Long, Sent> out = new HashMap<>();
     private Teller teller = t -> false;
     private Duration now = Duration.ZERO;
     private long seq;
-    private int ended, slow;
     private boolean due;
     private boolean ticking;
 
@@ -85,34 +80,20 @@
 
     int waiting() { return held.size(); }
 
-    int out() { return out.size(); }
-
     long[] counts() { return wishes.counts(); }
 
     private void release(long id) {
         Held h = held.remove(id);
         ids.remove(h.order);
-        out.put(id, new Sent(h.order, now, h.load));
         inner.hold(h.worker, h.function, h.copies, h.order); // refuses by itself what drains since it was asked
     }
 
     private void tell(Core c) {
         due = false;
         now = c.now();
-        for (Iterator<Sent> i = out.values().iterator(); i.hasNext();) {
-            Sent s = i.next();
-            if (s.order.ended()) {
-                i.remove();
-                ended++;
-                slow += s.load > 0 && now.minus(s.at).toNanos() / 1000 > 2 * s.load ? 1 : 0;
-            }
-        }
         if (wishes.state() != Wishes.State.ALONE) {
             Map<String, Double> worth = held.isEmpty() ? Map.of() : c.waitingWorth(); // walks all calls held
-            if (teller.tell(new Told(wishes.epoch(), ++seq, wishes.waiting(now, f -> worth.getOrDefault(f, 0.0)), out.size(), ended, slow))) {
-                ended = 0;
-                slow = 0;
-            }
+            teller.tell(new Told(wishes.epoch(), ++seq, wishes.waiting(now, f -> worth.getOrDefault(f, 0.0))));
         }
     }
 
@@ -140,7 +121,7 @@
         PageTerms.Entry e = terms.function(function);
         long load = e == null || e.load() == null ? 0 : e.load().toNanos() / 1000;
         long id = wishes.nextId();
-        held.put(id, new Held(worker, function, copies, order, load));
+        held.put(id, new Held(worker, function, copies, order));
         ids.put(order, id);
         now = order.sentAt();
         wishes.ask(now, new Wish(id, worker.name, function, e == null ? 0 : e.memory(), load, 0, 0));
--- a/src/main/java/switchgap/gateway/Status.java
+++ b/src/main/java/switchgap/gateway/Status.java
@@ -24,7 +24,7 @@
         } else {
             long[] p = planned.counts();
             n.putObject("planner").put("state", Page.word(planned.state())).put("epoch", planned.epoch()).put("orders_waiting", planned.waiting())
-                .put("orders_out", planned.out()).put("led", p[0]).put("patience_over", p[1]).put("stale", p[2]).put("refused", p[3]);
+                .put("led", p[0]).put("patience_over", p[1]).put("stale", p[2]).put("refused", p[3]);
         }
         return n.toPrettyString().concat("\n").getBytes(StandardCharsets.UTF_8);
     }
--- a/src/main/java/switchgap/link/Codec.java
+++ b/src/main/java/switchgap/link/Codec.java
@@ -14,7 +14,7 @@
 /** Messages as CBOR maps; the member {@code is} says which. What is no message is refused by name. */
 public final class Codec {
     /** What this program speaks. */
-    public static final int VERSION = 1;
+    public static final int VERSION = 2;
     /** The largest message, bytes. */
     public static final int MOST = 1 << 20;
 
--- a/src/main/java/switchgap/plan/Told.java
+++ b/src/main/java/switchgap/plan/Told.java
@@ -7,8 +7,5 @@
  *
  * @param epoch of the edge and this link; a plan for another is refused
  * @param seq   counts up in an epoch
- * @param out   orders that went out and have not ended
- * @param ended orders that ended since the one before
- * @param slow  of them, those that took more than twice their usual load time
  */
-public record Told(long epoch, long seq, List<Wish> waiting, int out, int ended, int slow) { }
+public record Told(long epoch, long seq, List<Wish> waiting) { }
