The usual time of a workload follows what it is now: its histograms are halved

Pushbacks on arrival, give-ups, a worker's places and the turns at cold workers go by it. Ruled out: stretch, slow, bad, took, crowds (halved). At fault: eachSecond, which left Workload.took and met out. Change: past 256 executions both are halved, together, as one is set against the other. Test red before, green after.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -299,6 +299,12 @@
         if (crowds.total() > 64) { crowds.halve(); }
         stretch.halve();
         arrivals.within(now, rationSpan); // kept for their span, also where no order is asked for
+        for (Workload of : workloads) { // or what is usual is what was usual days ago
+            if (of.took.total() > 256) {
+                of.took.halve();
+                of.met.halve();
+            }
+        }
         if (failing.total() > 64) { failing.halve(); }
         int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
         planned = 0;
--- a/src/test/java/switchgap/DecideOverDaysTest.java
+++ b/src/test/java/switchgap/DecideOverDaysTest.java
@@ -41,4 +41,16 @@
         run(b, t, 20_000, 20, 10);
         assertThat(b.held()).isLessThan(before + 200);
     }
+
+    /** The usual time of a workload was the median of all its life: after days nothing that changed moved it. */
+    @Test void theUsualTimeFollowsWhatItIsNow() {
+        Bench b = new Bench(new Bench.Said());
+        home(b);
+        int t = run(b, 100, 20_000, 60, 40);
+        t = run(b, t, 400, 400, 390);
+        int at = t;
+        b.at(at, f -> b.job(f, 99, 0, 420)); // a limit nearer than one and a half of what it takes now
+        String all = b.trace();
+        assertThat(all.substring(Math.max(0, all.length() - 300))).contains(at + " push back job 99");
+    }
 }
