A worker is taken to be empty while it is cold, and no longer

Seen: a worker first heard of at its start was taken to be empty for good, for each function that came later: an hour on, a router of 200 ordered a load in place of trying a copy that others hold; and a known worker's new process was not taken to be empty for functions heard of later. After one release all workers are of the first kind for good. Ruled out: Function.at (it only passes on). At fault: Worker.empty, set once in worker(). Change: it ends with the cold span, and begins anew with a new process. Test red before, green after.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -292,6 +292,7 @@
                 w.slow.halve();
                 w.bad.halve();
             }
+            w.empty &= cold(w); // later others may have loaded there what this router never heard of
             ownRate += w.standing == Standing.READY ? w.took.total() / 2 / ready : 0;
             w.took.halve();
         }
@@ -540,6 +541,7 @@
             for (Function f : functions) { // a new process: empty, cold and not to blame for the old one
                 if (f.at(w).belief != Belief.ORDERED) { f.at(w).belief = Belief.ABSENT; }
             }
+            w.empty = less(now.minus(started), coldSpan);
             w.slow.clear();
             w.bad.clear();
             w.shunned = null;
--- a/src/test/java/switchgap/DecideOverDaysTest.java
+++ b/src/test/java/switchgap/DecideOverDaysTest.java
@@ -1,11 +1,13 @@
 package switchgap;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static switchgap.Bench.change;
 import static switchgap.Bench.list;
 import static switchgap.Bench.ms;
 
 import org.junit.jupiter.api.Test;
 import switchgap.port.End;
+import switchgap.port.Standing;
 
 /** What a day on the bench is too short to show: tables that fill, figures that freeze, beliefs that never end. */
 class DecideOverDaysTest {
@@ -53,4 +55,28 @@
         String all = b.trace();
         assertThat(all.substring(Math.max(0, all.length() - 300))).contains(at + " push back job 99");
     }
+
+    /** A worker first heard of at its start was taken to be empty for good, for each function that came later. */
+    @Test void aWorkerIsTakenToBeEmptyOnlyWhileItIsCold() {
+        Bench.Said said = new Bench.Said();
+        said.routers = 200;
+        Bench b = new Bench(said);
+        b.at(0, f -> {
+            f.listBegins(true);
+            f.worker(0, 1000, Standing.READY, 0, 0, 0, 1, ms(0));
+            f.listEnds();
+        }).until(11_000).at(3_600_000, f -> b.job(f, 0, 0));
+        assertThat(b.count("send")).isEqualTo(1); // others may have loaded it within the hour: tried, not ordered
+        assertThat(b.count("hold")).isZero();
+    }
+
+    @Test void aNewProcessIsEmptyForFunctionsHeardOfLater() {
+        Bench.Said said = new Bench.Said();
+        said.routers = 200;
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 1)).at(60_000, f -> change(f, 0, Standing.READY, ms(60_000)));
+        b.at(65_000, f -> b.job(f, 0, 0));
+        assertThat(b.count("send")).isZero();
+        assertThat(b.count("hold")).isEqualTo(1);
+    }
 }
