Workers are asked for their load again after one told none

Ruled out: probes that time out (they say nothing). At fault: Decide.told, a latch. Change: it is open again each 64 s; where workers never tell, that costs one question in that time. Test red before, green after.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -306,6 +306,7 @@
                 of.met.halve();
             }
         }
+        told |= seconds % 64 == 0; // one that told no load may tell it later
         if (failing.total() > 64) { failing.halve(); }
         int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
         planned = 0;
--- a/src/test/java/switchgap/DecideOverDaysTest.java
+++ b/src/test/java/switchgap/DecideOverDaysTest.java
@@ -79,4 +79,27 @@
         assertThat(b.count("send")).isZero();
         assertThat(b.count("hold")).isEqualTo(1);
     }
+
+    /** One answer without a load report, as from a worker that had just begun, ended all questions for good. */
+    @Test void workersAreAskedForTheirLoadAgainAfterOneToldNone() {
+        Bench.Said said = new Bench.Said();
+        said.routers = 200;
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0)).at(90, f -> b.end(f, 0, 0, b.sentTo(0), End.FINISHED, 80, 8)).until(1100);
+        b.at(1200, f -> b.job(f, 1, 0));
+        assertThat(b.count("probe")).isPositive();
+        long asked = b.count("probe");
+        for (int w = 0; w < 4; w++) {
+            int at = w;
+            b.at(1202, f -> f.probed(at, End.FINISHED, ms(2), Double.NaN, Double.NaN, Double.NaN));
+        }
+        b.until(1300).at(1320, f -> b.end(f, 1, 0, b.sentTo(1), End.FINISHED, 80, 8)).until(3000);
+        for (int i = 0; i < 20; i++) {
+            int j = 2 + i;
+            b.at(3000 + 6000 * i, f -> b.job(f, j, 0)).until(3100 + 6000 * i);
+            if (b.sentTo(j) >= 0) { b.at(3120 + 6000 * i, f -> b.end(f, j, 0, b.sentTo(j), End.FINISHED, 80, 8)); }
+            b.until(8980 + 6000 * i);
+        }
+        assertThat(b.count("probe")).as(b.trace().substring(Math.max(0, b.trace().length() - 1500))).isGreaterThan(asked + 1);
+    }
 }
