A wake-up that was lost is asked for again

Late and double ones were right. At fault: Decide.round, nextStep. Change: a wake-up whose time has passed is not waited for. Test red before, green after.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -131,7 +131,7 @@
         }
         placeWaiting();
         Duration due = waiting.isEmpty() ? nextSecond : least(now.plus(step), nextSecond);
-        if (nextStep == null || less(due, nextStep)) {
+        if (nextStep == null || less(nextStep, now) || less(due, nextStep)) { // one that was lost is not waited for
             out.wake(due.minus(now), ++wakes);
             nextStep = due;
         }
--- a/src/test/java/switchgap/DecideOverDaysTest.java
+++ b/src/test/java/switchgap/DecideOverDaysTest.java
@@ -102,4 +102,16 @@
         }
         assertThat(b.count("probe")).as(b.trace().substring(Math.max(0, b.trace().length() - 1500))).isGreaterThan(asked + 1);
     }
+
+    /** A wake-up that never came was waited for for good: what waits is looked at only as other events come. */
+    @Test void aWakeUpThatWasLostIsAskedForAgain() {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 1)); // asks for its first, which is lost
+        int asked = b.wakes;
+        b.at(5000, f -> b.job(f, 0, 0)).at(5002, f -> b.end(f, 0, 0, 0, End.MISS, 2, -1)); // now it waits
+        assertThat(b.wakes).isGreaterThan(asked);
+        int then = b.wakes;
+        b.at(5500, f -> f.timer(1)).at(5520, f -> f.timer(1)); // late, and twice
+        assertThat(b.wakes).isBetween(then, then + 2);
+    }
 }
