A client that never gets to a whole request gives its place at the door back

Seen: a connection that sent half a head and fell silent, or no byte at all, was kept for good: the span of arrival began with the parsed head, the keep-alive between requests. Ruled out: slow bodies (they had their span) and idle connections after an answer (closed by the keep-alive). At fault: HttpDoor.Hall.handleRead, where the span began, and handleAccept, where none did. Change: a filter before the parser notes the first byte of a request; a look each quarter of the span closes who is past it, and who has sent nothing for the idle span. One look for all in place of a timer for each slow sender. Before: the test's three connections stayed for more than 3 s of a span of 0.3 and 1 s; after: closed, a client served.

--- a/src/main/java/switchgap/wire/HttpDoor.java
+++ b/src/main/java/switchgap/wire/HttpDoor.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -36,8 +37,10 @@
         byte[] body = new byte[0];
         int size;
         boolean discarded;
-        long began;
-        Request asked;
+        final long opened = System.nanoTime();
+        volatile long began; // of a request that is not whole yet, or 0
+        volatile boolean used;
+        volatile Request asked;
     }
 
     private final Attribute<Visit> visits =
@@ -47,6 +50,7 @@
     private final Desk desk;
     private final Set<Connection<?>> open = ConcurrentHashMap.newKeySet();
     private TCPNIOServerConnection listener;
+    private ScheduledFuture<?> look;
 
     public HttpDoor(Net net, Bounds bounds, Desk desk) {
         this.net = net;
@@ -63,9 +67,12 @@
         HttpServerFilter http = new HttpServerFilter(false, bounds.headerBytes(), "text/plain", keep,
             net.timers, 100, 100);
         TCPNIOBindingHandler binding = TCPNIOBindingHandler.builder(net.transport)
-            .processor(FilterChainBuilder.stateless().add(new TransportFilter()).add(http).add(new Hall()).build())
+            .processor(FilterChainBuilder.stateless().add(new TransportFilter()).add(new First()).add(http)
+                .add(new Hall()).build())
             .build();
         listener = binding.bind(new InetSocketAddress(host, port), 4096);
+        long every = Math.max(10, bounds.arrival().toMillis() / 4);
+        look = Clock.LATER.scheduleAtFixedRate(this::look, every, every, TimeUnit.MILLISECONDS);
         return ((InetSocketAddress) listener.getLocalAddress()).getPort();
     }
 
@@ -77,11 +84,37 @@
         }
     }
 
+    /**
+     * Guards against those who never get to a whole request: one byte a minute, half a head and then silence, or a
+     * connection on which nothing comes at all. Each held a place for good, until all were taken.
+     */
+    private void look() {
+        long now = System.nanoTime();
+        open.forEach(c -> {
+            Visit v = visits.get(c);
+            long began = v.began;
+            if (began != 0 && now - began > bounds.arrival().toNanos()
+                || began == 0 && !v.used && now - v.opened > bounds.idle().toNanos()) {
+                c.closeSilently();
+            }
+        });
+    }
+
     @Override public void close() {
         shut();
+        if (look != null) { look.cancel(false); }
         open.forEach(Connection::closeSilently);
     }
 
+    /** The first filter: notes when a request begins, before its head can be read. */
+    private final class First extends BaseFilter {
+        @Override public NextAction handleRead(FilterChainContext ctx) {
+            Visit v = visits.get(ctx.getConnection());
+            if (v.began == 0 && v.asked == null) { v.began = System.nanoTime(); }
+            return ctx.getInvokeAction();
+        }
+    }
+
     /** The last filter: gathers bodies and notices who leaves. */
     private final class Hall extends BaseFilter {
         @Override public NextAction handleAccept(FilterChainContext ctx) {
@@ -113,10 +146,6 @@
                 c.closeSilently();
                 return ctx.getStopAction();
             }
-            if (v.began == 0) {
-                long began = v.began = System.nanoTime();
-                if (!part.isLast()) { watch(c, v, began); }
-            }
             Buffer b = part.getContent();
             int more = b == null ? 0 : b.remaining();
             if (v.size + more > bounds.bodyBytes() || head.getContentLength() > bounds.bodyBytes()) {
@@ -145,19 +174,13 @@
             Request r = new Request(c, head, body, () -> v.asked = null);
             v.body = new byte[0];
             v.size = 0;
-            v.began = 0;
             v.asked = r;
+            v.used = true;
+            v.began = 0;
             desk.asked(r);
             return ctx.getStopAction();
         }
 
-        /** Guards against a sender of one byte a minute: its connection ends when the span is over. */
-        private void watch(Connection<?> c, Visit v, long began) {
-            Clock.LATER.schedule(() -> {
-                if (v.began == began) { c.closeSilently(); }
-            }, bounds.arrival().toMillis(), TimeUnit.MILLISECONDS);
-        }
-
         private void refuse(Connection<?> c, HttpRequestPacket head, int status, String why) {
             head.getProcessingState().setKeepAlive(false);
             new Request(c, head, new byte[0], () -> { }).answer(status,
--- a/src/test/java/switchgap/gateway/WorstMomentTest.java
+++ b/src/test/java/switchgap/gateway/WorstMomentTest.java
@@ -9,6 +9,8 @@
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
@@ -125,4 +127,29 @@
             return true;
         };
     }
+
+    /** Each held a place among the connections for good: bytes of a head and then silence, or no byte at all. */
+    @Test void aClientThatNeverGetsToAWholeRequestGivesItsPlaceBack() throws Exception {
+        try (Peer a = new Peer(Peer::well); Served s = new Served("listen: {port: 0, arrival: 300ms, idle: 1s, connections: 3}\n", a)) {
+            String[] halves = {"POST /v1/functions/once-1/inv", "", "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n+GET /heal"};
+            List<Socket> half = new ArrayList<>();
+            for (String h : halves) {
+                Socket c = new Socket("127.0.0.1", s.gateway.port());
+                c.setSoTimeout(3000);
+                half.add(c);
+                for (String part : h.split("\\+")) {
+                    write(c.getOutputStream(), part);
+                    Thread.sleep(60);
+                }
+            }
+            try (Socket further = new Socket("127.0.0.1", s.gateway.port())) {
+                assertThat(further.getInputStream().read()).isEqualTo(-1); // all places are taken
+            }
+            for (Socket c : half) {
+                while (c.getInputStream().read() >= 0) { } // the answer of the one, then its end
+                c.close();
+            }
+            assertThat(end(s.invoke("once-1", "1"))).isEqualTo("finished");
+        }
+    }
 }
