A list service that says nothing for long is asked anew: half open it sounded like a quiet fleet

Ruled out: a service that closes or refuses (AWAY, asked again). At fault: ListWatch, which bounded no silence; and follow(), which took no note of a link that took nothing. Change: after 20 pauses of ask_again (10 s) without a byte, a blank line being one, the list is asked for on a further connection; the old one ends when that one is open, so that nothing is missed between them.

--- a/src/main/java/switchgap/list/ListWatch.java
+++ b/src/main/java/switchgap/list/ListWatch.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
@@ -17,13 +18,15 @@
 
 /**
  * Follows the list service by a held request that answers in lines. While the service is away, or tells nonsense,
- * the last good list stays. States: ASKING, FOLLOWING, AWAY (asks again after a pause).
+ * the last good list stays. States: ASKING, FOLLOWING, AWAY (asks again after a pause). A service that says nothing for
+ * long is asked anew on a further connection: a connection that is half open sounds like a fleet in which nothing changes.
  */
 public final class ListWatch {
     private enum State { ASKING, FOLLOWING, AWAY, CLOSED }
 
     private static final Logger LOG = LoggerFactory.getLogger(ListWatch.class);
     private static final int MOST_LINE = 16 << 20;
+    private static final int SILENCE = 20; // pauses without a byte, then it is asked anew
     private final HttpLink.Opener opener;
     private final InetSocketAddress service;
     private final int router;
@@ -34,7 +37,9 @@
     private final Consumer<Consumer<Core>> events;
     private State state = State.AWAY;
     private long version = -1;
-    private HttpLink link;
+    private volatile HttpLink link;
+    private volatile long heard = System.nanoTime();
+    private final ScheduledFuture<?> look;
 
     /** {@code again}: the pause before asking anew. */
     public ListWatch(HttpLink.Opener opener, InetSocketAddress service, int router, long born, Duration again,
@@ -47,14 +52,31 @@
         this.zones = zones;
         this.kinds = kinds;
         this.events = events;
+        look = Clock.LATER.scheduleAtFixedRate(this::look, again.toMillis(), again.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void look() {
+        if (state == State.AWAY || state == State.CLOSED || System.nanoTime() - heard < SILENCE * again.toNanos()) { return; }
+        state = State.AWAY;
+        follow(); // the old connection is closed once there is a new one
     }
 
     public synchronized void follow() {
         if (state != State.AWAY) { return; }
         state = State.ASKING;
+        heard = System.nanoTime();
         opener.open(service, again.multipliedBy(4), new HttpLink.Opening() {
             @Override public void open(HttpLink l) {
-                link = l;
+                HttpLink old;
+                synchronized (ListWatch.this) {
+                    if (state == State.CLOSED) {
+                        l.close();
+                        return;
+                    }
+                    old = link;
+                    link = l;
+                }
+                if (old != null) { old.close(); }
                 l.ask("GET", "/v1/workers?watch=1&router=" + router + "&from=" + version, Map.of(), new byte[0],
                     new Following(l));
             }
@@ -73,6 +95,7 @@
 
     public synchronized void close() {
         state = State.CLOSED;
+        look.cancel(false);
         if (link != null) { link.close(); }
     }
 
@@ -83,6 +106,7 @@
         Following(HttpLink on) { this.on = on; }
 
         @Override public boolean piece(byte[] bytes) {
+            heard = System.nanoTime();
             for (byte b : bytes) {
                 if (b == '\n') {
                     take(line.toString(StandardCharsets.UTF_8));
@@ -99,7 +123,7 @@
         }
 
         private void take(String text) {
-            if (text.isBlank()) { return; }
+            if (text.isBlank() || on != link) { return; }
             ListLine l;
             try {
                 l = ListLine.read(text, born, zones, kinds);
@@ -124,9 +148,13 @@
 
         @Override public void answered(int status, Map<String, String> headers, byte[] body, boolean reusable) {
             on.close();
-            away("the service ended its answer with status " + status);
+            ended("the service ended its answer with status " + status);
         }
 
-        @Override public void broken(String why) { away(why); }
+        @Override public void broken(String why) { ended(why); }
+
+        private void ended(String why) {
+            if (on == link) { away(why); } // else a further connection has taken its place
+        }
     }
 }
--- a/src/test/java/switchgap/gateway/ListTest.java
+++ b/src/test/java/switchgap/gateway/ListTest.java
@@ -69,4 +69,25 @@
             list.close();
         }
     }
+
+    /** Half open: the service's machine is gone without a word. It sounded like a fleet in which nothing changes, for ever. */
+    @Test void aListServiceThatSaysNothingForLongIsAskedAnew() throws Exception {
+        java.util.concurrent.atomic.AtomicInteger asked = new java.util.concurrent.atomic.AtomicInteger();
+        try (Peer a = new Peer(Peer::well); Peer service = new Peer((q, out) -> {
+            int n = asked.incrementAndGet();
+            String line = "{\"whole\":true,\"version\":" + n + ",\"workers\":[{\"name\":\"w0\",\"port\":" + a.port() + ",\"state\":\""
+                + (n < 3 ? "ready" : "draining") + "\",\"zone\":\"zone\"}]}\n";
+            out.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n")
+                .getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            out.flush();
+            return Peer.silent(q, out);
+        }); Served s = new Served("list: {port: " + service.port() + ", ask_again: 20ms}\n")) {
+            until(() -> asked.get() == 1);
+            assertThat(end(s.invoke("once-1", "1"))).isEqualTo("finished"); // the last list stays meanwhile
+            for (int i = 0; i < 300 && asked.get() < 3; i++) { Thread.sleep(10); }
+            assertThat(asked.get()).isGreaterThanOrEqualTo(3);
+            Thread.sleep(100);
+            assertThat(end(s.invoke("once-1", "2"))).isEqualTo("pushed-back"); // the drain was learned
+        }
+    }
 }
