Who says nothing at the planner's door is not kept

Seen: a connection to the edge's port for the planner that sent no handshake stayed for good, any number of them. Ruled out: a planner that fell silent after its handshake (closed after a second). At fault: EdgeDoor.Ear.opened. Change: a connection without a handshake after a second is closed. Before: open past 5 s; after: closed.

--- a/src/main/java/switchgap/link/EdgeDoor.java
+++ b/src/main/java/switchgap/link/EdgeDoor.java
@@ -67,7 +67,13 @@
     }
 
     private final class Ear implements FrameLink.Ear {
-        @Override public void opened(FrameLink l) { }
+        /** Who connects and says nothing is not kept. */
+        @Override public void opened(FrameLink l) {
+            Clock.LATER.schedule(() -> {
+                Planner p = planner.get();
+                if (p == null || p.link != l) { l.close("no handshake within a second"); }
+            }, SILENCE, TimeUnit.NANOSECONDS);
+        }
 
         @Override public void frame(FrameLink l, byte[] bytes) {
             Object m;
--- a/src/test/java/switchgap/gateway/WorstMomentTest.java
+++ b/src/test/java/switchgap/gateway/WorstMomentTest.java
@@ -152,4 +152,13 @@
             assertThat(end(s.invoke("once-1", "1"))).isEqualTo("finished");
         }
     }
+
+    /** A planner's door, the same: who connects and says nothing is not kept. */
+    @Test void whoSaysNothingAtThePlannersDoorIsNotKept() throws Exception {
+        try (Peer a = new Peer(Peer::well); Served s = new Served("planner: {port: 0}\nworkers: {orders: true}\n", a);
+             Socket c = new Socket("127.0.0.1", s.gateway.plannerPort())) {
+            c.setSoTimeout(5000);
+            assertThat(c.getInputStream().read()).isEqualTo(-1);
+        }
+    }
 }
