Remove what nothing calls and a setting that nothing reads

Seen: the module gives neither a note nor a call for the list beside subscribe, yet Decisions, Outside and seven carriers bore both; the router's page took rules.drain_grace and nothing read it: a router stops at once, the grace is the checker's. Ruled out as unused: Gateway.plannerPort and plans (tests), Levels.touched and spent (status), Terms.timeLimit (stop).

--- a/src/main/java/switchgap/day/Day.java
+++ b/src/main/java/switchgap/day/Day.java
@@ -249,6 +249,7 @@
         for (String part : List.of("workers", "rules", "prices", "holds", "links", "levels")) {
             if (raw.containsKey(part)) { page.put(part, new LinkedHashMap<>((Map<String, Object>) raw.get(part))); }
         }
+        if (page.get("rules") instanceof Map<?, ?> rules) { rules.remove("drain_grace"); } // the checker's; a router stops at once
         Map<String, Object> links = (Map<String, Object>) page.computeIfAbsent("links", x -> new LinkedHashMap<>());
         links.put("from", address(number));
         ((Map<String, Object>) page.computeIfAbsent("workers", x -> new LinkedHashMap<>()))
--- a/src/main/java/switchgap/gateway/Gateway.java
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -62,7 +62,7 @@
         AtomicReference<Inference> made = new AtomicReference<>();
         AtomicReference<Planned> behind = new AtomicReference<>();
         loop = new Loop(l -> {
-            made.set(new Inference(opener, page.links(), carriers, l::post, () -> listening.get().run(), t -> LOG.info("module: {}", t)));
+            made.set(new Inference(opener, page.links(), carriers, l::post, () -> listening.get().run()));
             if (page.planner() != null) { behind.set(new Planned(made.get(), terms, page.patience(), l::post)); }
             return new Core(terms, decide, behind.get() == null ? made.get() : behind.get(), page.orderLimit(), page.probeLimit(), page.mostFunctions());
         }, "loop-" + terms.self());
--- a/src/main/java/switchgap/gateway/Planned.java
+++ b/src/main/java/switchgap/gateway/Planned.java
@@ -152,6 +152,4 @@
     @Override public void probe(Seen worker, Order order) { inner.probe(worker, order); }
 
     @Override public void list() { inner.list(); }
-
-    @Override public void note(String text) { inner.note(text); }
 }
--- a/src/main/java/switchgap/gateway/Rehearsal.java
+++ b/src/main/java/switchgap/gateway/Rehearsal.java
@@ -66,8 +66,6 @@
             @Override public void abandon(Order order) { }
 
             @Override public void list() { }
-
-            @Override public void note(String text) { }
         };
         Core core = new Core(terms, 1, outside, Duration.ofSeconds(1), Duration.ofSeconds(1), 100);
         List<Listed> list = new ArrayList<>();
--- a/src/main/java/switchgap/lab/EmulatedRouter.java
+++ b/src/main/java/switchgap/lab/EmulatedRouter.java
@@ -135,6 +135,4 @@
     @Override public void abandon(Order order) { }
 
     @Override public void list() { }
-
-    @Override public void note(String text) { }
 }
--- a/src/main/java/switchgap/lab/Variant.java
+++ b/src/main/java/switchgap/lab/Variant.java
@@ -22,7 +22,7 @@
     static final Variant OFF = new Variant("off", Before.NOTHING, null, Map.of());
     static final Variant LEVELS = new Variant("levels", Before.LEVELS, null, Map.of());
 
-    /** Reads {@code - {name: off, before: nothing, pin: least, terms: {rules.drain_grace: 1s}}} and its like. */
+    /** Reads {@code - {name: off, before: nothing, pin: least, terms: {levels.keep: 0.985}}} and its like. */
     static List<Variant> read(Page under) {
         List<Variant> all = new ArrayList<>();
         for (Page p : under.parts("variants")) {
--- a/src/main/java/switchgap/port/Decisions.java
+++ b/src/main/java/switchgap/port/Decisions.java
@@ -25,12 +25,9 @@
 
     void wake(Duration after, long token);
 
-    void askForList();
-
+    /** Asks for the list, or for its changes from now on. */
     void subscribe();
 
-    void note(String text);
-
     /** Nothing refers to this index any more. */
     void forgetJob(int job);
 
--- a/src/main/java/switchgap/router/Core.java
+++ b/src/main/java/switchgap/router/Core.java
@@ -325,12 +325,8 @@
             timers.at(now.plus(after), () -> feed.timer(token));
         }
 
-        @Override public void askForList() { outside.list(); }
-
         @Override public void subscribe() { outside.list(); }
 
-        @Override public void note(String text) { outside.note(text); }
-
         @Override public void forgetJob(int job) {
             calls.get(job).index = -1;
             calls.set(job, null);
--- a/src/main/java/switchgap/router/Outside.java
+++ b/src/main/java/switchgap/router/Outside.java
@@ -34,6 +34,4 @@
 
     /** Asks for the list, or for its changes from now on. */
     void list();
-
-    void note(String text);
 }
--- a/src/main/java/switchgap/simhost/Instance.java
+++ b/src/main/java/switchgap/simhost/Instance.java
@@ -236,19 +236,11 @@
         putServer(reply.record(6, who) + 3, worker);
     }
 
-    @Override public void note(String text) {
-        reply.text(reply.record(9, who) + 3, text);
-    }
-
     @Override public void subscribe() {
         int at = reply.record(11, who);
         reply.fields().put(at + 3, (byte) 1);
     }
 
-    @Override public void askForList() {
-        reply.record(12, who);
-    }
-
     @Override public void hold(int worker, int function, int copies) {
         int at = reply.record(13, who);
         putServer(at + 3, worker);
--- a/src/main/java/switchgap/terms/PageTerms.java
+++ b/src/main/java/switchgap/terms/PageTerms.java
@@ -34,7 +34,7 @@
     private final java.util.Map<String, Entry> named = new java.util.HashMap<>();
     private final List<Entry> families = new ArrayList<>();
     private final int self, routers, zone, mostExecutions;
-    private final Duration tick, mostComeBack, coldSpan, fallSpan, keep, loadsSpan, askWithin, grace;
+    private final Duration tick, mostComeBack, coldSpan, fallSpan, keep, loadsSpan, askWithin;
     private final boolean second, probe, cancel, comeBack, onMiss, order, sizes, asks;
     private final boolean levels;
     private final boolean[] spared;
@@ -88,7 +88,6 @@
         askWithin = x.span("ask_within", Duration.ofSeconds(10));
         x.done();
         Page u = p.partOrNone("rules");
-        grace = u.span("drain_grace", Duration.ofMillis(500));
         coldShare = u.number("cold_share", 0, 1, 1);
         coldSpan = u.span("cold_span", Duration.ofMillis(1)); // none stated: warm from the first moment
         if (coldSpan.isZero()) { throw u.wrong("cold_span", "must be above 0; leave it out where nothing is cold"); }
@@ -217,8 +216,6 @@
 
     public Duration pinnedFor() { return pinnedFor; }
 
-    public Duration drainGrace() { return grace; }
-
     @Override public int self() { return self; }
 
     @Override public int routers() { return routers; }
--- a/src/main/java/switchgap/workers/Inference.java
+++ b/src/main/java/switchgap/workers/Inference.java
@@ -38,17 +38,15 @@
     private final Carriers carriers;
     private final Consumer<Consumer<Core>> events;
     private final Runnable askList;
-    private final Consumer<String> notes;
     private final Set<Pool> pools = ConcurrentHashMap.newKeySet();
 
     public Inference(HttpLink.Opener opener, Links bounds, Carriers carriers, Consumer<Consumer<Core>> events,
-                     Runnable askList, Consumer<String> notes) {
+                     Runnable askList) {
         this.opener = opener;
         this.bounds = bounds;
         this.carriers = carriers;
         this.events = events;
         this.askList = askList;
-        this.notes = notes;
     }
 
     /** A worker's links: an order holds its link for as long as a load takes, so orders have links of their own. */
@@ -206,6 +204,4 @@
     }
 
     @Override public void list() { askList.run(); }
-
-    @Override public void note(String text) { notes.accept(text); }
 }
--- a/src/test/java/switchgap/Bench.java
+++ b/src/test/java/switchgap/Bench.java
@@ -210,12 +210,8 @@
 
     @Override public void wake(Duration after, long token) { wakes++; }
 
-    @Override public void askForList() { say("ask for list"); }
-
     @Override public void subscribe() { say("subscribe"); }
 
-    @Override public void note(String text) { say("note " + text); }
-
     @Override public void forgetJob(int job) {
         sent.remove(job);
         say("forget job " + job);
--- a/src/test/java/switchgap/RulesTest.java
+++ b/src/test/java/switchgap/RulesTest.java
@@ -280,12 +280,8 @@
         due.computeIfAbsent(now.plus(after), t -> new ArrayList<>()).add(f -> f.timer(token));
     }
 
-    @Override public void askForList() { }
-
     @Override public void subscribe() { }
 
-    @Override public void note(String text) { }
-
     @Override public void forgetJob(int job) {
         Job j = open.remove(job);
         assertThat(j.closed).isTrue();
--- a/src/test/java/switchgap/gateway/PlannedTest.java
+++ b/src/test/java/switchgap/gateway/PlannedTest.java
@@ -78,6 +78,4 @@
     @Override public void abandon(Order order) { }
 
     @Override public void list() { }
-
-    @Override public void note(String text) { }
 }
--- a/src/test/java/switchgap/router/CoreTest.java
+++ b/src/test/java/switchgap/router/CoreTest.java
@@ -180,8 +180,6 @@
 
     @Override public void list() { }
 
-    @Override public void note(String text) { }
-
     @Override public void answered(Call c, Answer a) { said.add(a.kind().name()); }
 
     @Override public void overdue(Call c) { said.add("overdue"); }
--- a/src/test/java/switchgap/router/LinksTest.java
+++ b/src/test/java/switchgap/router/LinksTest.java
@@ -46,7 +46,7 @@
 
     private void links(int most) {
         links = new Inference(new HttpLink.Opener(net, null, 1 << 16), new Inference.Links(most, 100, Duration.ofMillis(250),
-            Duration.ofSeconds(30)), carriers, events::add, () -> { }, t -> { });
+            Duration.ofSeconds(30)), carriers, events::add, () -> { });
         Feed feed = new Feed() {
             @Override public void listBegins(boolean whole) { }
 
