Changes of level that nobody asks for are bounded too

Ruled out: the 64 that are remembered. At fault: Levels.note. Change: the oldest goes past 64, as among those remembered.

--- a/src/main/java/switchgap/level/Levels.java
+++ b/src/main/java/switchgap/level/Levels.java
@@ -260,6 +260,7 @@
     private void note(Duration now, int customer, Rung from, Rung to, String why) {
         if (changes.size() == KEPT) { changes.remove(0); }
         changes.add(new Change(now, customer, from, to, why, pressure(), calls));
+        if (fresh.size() == KEPT) { fresh.remove(0); } // where nobody asks
         fresh.add(changes.get(changes.size() - 1));
     }
 
--- a/src/test/java/switchgap/level/LevelsTest.java
+++ b/src/test/java/switchgap/level/LevelsTest.java
@@ -240,4 +240,21 @@
         }
         assertThat(times.size()).as("%s", times).isGreaterThan(5);
     }
+
+    /** Days of pins and loads: what is remembered is bounded, whether anybody asks for it or not. */
+    @Test void changesAndTalliesAreBoundedOverDays() {
+        Levels l = new Levels(terms(1, 2, 3), 1);
+        for (int day = 0; day < 2; day++) {
+            for (int i = 0; i < 20_000; i++) {
+                Duration t = at(day * 200_000 + i * 10);
+                l.offered(t, i % 3, i % 2, i);
+                l.ended(t, i % 2, Outcome.CROWDED);
+                if (i % 10 == 0) { l.pin(t, Rung.LEAST, t.plusSeconds(5)); }
+            }
+        }
+        assertThat(l.changes()).hasSize(64);
+        assertThat(switchgap.Held.by(l)).isLessThan(2000);
+        assertThat(l.fresh().size()).isLessThanOrEqualTo(64);
+        assertThat(l.pressure()).isBetween(0.0, 1.0);
+    }
 }
