--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -291,6 +291,18 @@
         assertThat(b.count("hold function 0")).isZero();
     }
 
+    /** The client has the execution now: no limit, no pushback, no further execution, until its end comes. */
+    @Test void aStreamThatBeganIsLeftAloneUntilItsEnd() {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 3)).at(10, f -> b.job(f, 0, 0)).at(60, f -> f.streamBegan(0, 0)).until(5000);
+        assertThat(b.count("send")).isEqualTo(1);
+        assertThat(b.count("push back") + b.count("kill") + b.count("cancel")).isZero();
+        int at = b.sentTo(0);
+        b.at(5100, f -> f.ended(0, 0, at, End.BROKEN, ms(5090), true, -1, Double.NaN, Double.NaN, Double.NaN));
+        assertThat(b.count("send")).isEqualTo(1);
+        assertThat(b.count("forget job 0")).isEqualTo(1);
+    }
+
     /** One router of 200 at a time starved the successors of a release: turns are shared, one job a turn each. */
     @Test void atSizeTurnsAtAColdWorkerAreShared() {
         int sent = 0;
--- /dev/null
+++ b/src/test/java/switchgap/router/CoreOverDaysTest.java
@@ -0,0 +1,134 @@
+package switchgap.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import switchgap.Held;
+import switchgap.port.End;
+import switchgap.port.Standing;
+import switchgap.terms.Page;
+import switchgap.terms.PageTerms;
+
+/** The core under the module for simulated days: workers replaced by others for ever, functions asked for once, clients that leave. */
+class CoreOverDaysTest implements Outside, Asker {
+    private static final String TERMS = """
+        router: {number: 0, of: 3, tick: 5ms, executions: 3}
+        workloads:
+          again: {start_target: 300ms, time_limit: 2s, repeat: restartable}
+          once: {start_target: 300ms, time_limit: 2s, repeat: run-once}
+        functions: {"f*": {workload: again, memory: 1, lanes: 4}}
+        workers: {miss: answers, orders: true, keep_alive: 10s}
+        prices: {memory: 0.05}
+        """;
+    private final TreeMap<Duration, List<Consumer<Core>>> due = new TreeMap<>();
+    private final SplittableRandom draw = new SplittableRandom(3);
+    private final Core core = new Core(new PageTerms(Page.read("t", TERMS)), 1, this, Duration.ofSeconds(10), Duration.ofMillis(250), 500);
+    private final List<String> fleet = new ArrayList<>(List.of("w0", "w1", "w2", "w3"));
+    private Duration now = Duration.ZERO;
+    private int names = 4, taken, answers, overdue, refused, left;
+
+    private void later(long millis, Consumer<Core> e) {
+        due.computeIfAbsent(now.plusMillis(millis), t -> new ArrayList<>()).add(e);
+    }
+
+    private void until(Duration end) {
+        while (true) {
+            Duration a = due.isEmpty() ? null : due.firstKey();
+            Duration b = core.nextDue();
+            Duration next = a == null || b != null && b.compareTo(a) < 0 ? b : a;
+            if (next == null || next.compareTo(end) > 0) { return; }
+            now = next.compareTo(now) < 0 ? now : next;
+            List<Consumer<Core>> events = new ArrayList<>();
+            while (!due.isEmpty() && due.firstKey().compareTo(now) <= 0) { events.addAll(due.pollFirstEntry().getValue()); }
+            core.round(now, events);
+        }
+    }
+
+    private void list(Core c) {
+        List<Listed> lines = new ArrayList<>();
+        for (String n : fleet) { lines.add(new Listed(n, "h", 1 + draw.nextInt(3) / 2, Standing.READY, 0, 0, 0, 1, null)); }
+        c.list(true, lines);
+    }
+
+    private void call(Core c) {
+        String f = draw.nextInt(4) == 0 ? "f-once-" + draw.nextInt(1_000_000) : "f" + draw.nextInt(20);
+        Call call = new Call("c", f, draw.nextInt(2), -1, now.plusMillis(300 + draw.nextInt(1700)), null, null, null, new byte[0], 1, 4,
+            null, false, this);
+        if (!c.callCame(call)) {
+            refused++;
+            return;
+        }
+        taken++;
+        if (draw.nextInt(30) == 0) {
+            later(draw.nextInt(200), x -> {
+                left += call.state() == Call.State.HELD ? 1 : 0;
+                x.clientLeft(call);
+            });
+        }
+    }
+
+    private void hours(int n) {
+        long span = n * 3_600_000L;
+        for (long t = 1; t < span; t += 1 + draw.nextInt(2000)) { later(t, this::call); }
+        for (long t = 1; t < span; t += 20_000 + draw.nextInt(40_000)) {
+            later(t, c -> {
+                fleet.remove(draw.nextInt(fleet.size()));
+                fleet.add("w" + names++);
+                list(c);
+            });
+        }
+        until(now.plusMillis(span + 60_000));
+    }
+
+    @Test void nothingOfWhatHasGoneIsKept() {
+        later(0, this::list);
+        hours(12);
+        long after = Held.by(core, this);
+        hours(36);
+        assertThat(names).isGreaterThan(3000);
+        assertThat(Held.by(core, this)).isLessThan(after + 300);
+        assertThat(core.held()).isZero();
+        assertThat(core.outstanding()).isZero();
+        assertThat(answers + overdue + left).isEqualTo(taken);
+        assertThat(overdue).isZero();
+        assertThat(refused).isZero();
+        assertThat(((Names) Held.field(core, "functions")).size()).isLessThan(60);
+        assertThat((Map<?, ?>) Held.field(core, "seen")).hasSizeLessThan(8);
+    }
+
+    // ---- the seam
+
+    @Override public void send(Run run, Duration allow) {
+        End end = draw.nextInt(5) > 0 ? End.FINISHED : End.values()[draw.nextInt(End.values().length)];
+        if (end == End.TIMED_OUT) { return; } // never answers
+        later(1 + draw.nextInt(400), c -> c.executionEnded(run, end, Loads.UNTOLD, Answer.finished(200, Map.of(), new byte[0])));
+    }
+
+    @Override public End abandon(Run run) { return End.TIMED_OUT; }
+
+    @Override public void hold(Seen w, String f, int copies, Order o) {
+        if (draw.nextInt(20) == 0) { return; } // never ends by itself
+        later(1 + draw.nextInt(2000), c -> c.orderEnded(o, End.FINISHED, 1));
+    }
+
+    @Override public void drop(Seen worker, String function, Order order) {
+        if (draw.nextBoolean()) { later(5, c -> c.dropEnded(order)); }
+    }
+
+    @Override public void probe(Seen worker, Order order) { later(2, c -> c.probed(order, End.FINISHED, Loads.UNTOLD)); }
+
+    @Override public void abandon(Order order) { }
+
+    @Override public void list() { }
+
+    @Override public void answered(Call c, Answer a) { answers++; }
+
+    @Override public void overdue(Call c) { overdue++; }
+}
