Edge and planner are silent where nothing has changed: an idle pair took most of a core

Ruled out: signs of life (five a second) and the list, which was away (asked for twice a second). At fault: Planned.plan and tick, which told again after each plan. Change: the planner is told where a load is asked for and where it links; what a plan left waiting goes out in its time. Before: 500 words in 1,000 idle rounds (test red); after: one at the link and one for a load.

--- a/src/main/java/switchgap/gateway/Planned.java
+++ b/src/main/java/switchgap/gateway/Planned.java
@@ -70,8 +70,7 @@
 
     void plan(Core c, Plan p) {
         now = c.now();
-        wishes.plan(p);
-        soon();
+        wishes.plan(p); // no word back: what a plan left waiting is told with what is asked for next, or goes out in time
     }
 
     Wishes.State state() { return wishes.state(); }
@@ -110,7 +109,6 @@
         Duration next = wishes.tick(now);
         ticking = next != null;
         if (ticking) { c.later(next, () -> tick(c)); }
-        soon();
     }
 
     @Override public void hold(Seen worker, String function, int copies, Order order) {
--- a/src/test/java/switchgap/gateway/PlannedTest.java
+++ b/src/test/java/switchgap/gateway/PlannedTest.java
@@ -9,6 +9,8 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import switchgap.Held;
+import switchgap.plan.Plan;
+import switchgap.plan.Sequence;
 import switchgap.port.End;
 import switchgap.port.Feed;
 import switchgap.port.Standing;
@@ -63,6 +65,31 @@
         assertThat(planned.waiting()).isZero();
     }
 
+    /** Each plan was answered by a further word of what waits, and each word by a plan: an idle pair took most of a core. */
+    @Test void nothingIsToldWhereNothingHasChanged() {
+        int[] told = {0};
+        Sequence planner = new Sequence();
+        next.add(c -> {
+            planned.teller(t -> {
+                told[0]++;
+                Plan p = planner.plan(t);
+                return p != null && next.add(x -> planned.plan(x, p));
+            });
+            c.list(true, List.of(new Listed("w", "127.0.0.1", 1, Standing.READY, 0, 0, 0, 1, null)));
+            c.callCame(new Call("c", "again-1", 0, -1, Duration.ofDays(9), null, null, null, new byte[0], 1, 1, null, false, null));
+            planned.linked(c, 1);
+        });
+        rounds(1000, 0);
+        assertThat(told[0]).isLessThanOrEqualTo(2);
+        ordered = 1;
+        rounds(1, 1000);
+        ordered = 0;
+        rounds(1000, 1001);
+        assertThat(told[0]).isBetween(2, 5);
+        assertThat(planned.waiting()).isZero();
+        assertThat(planned.counts()[0]).isEqualTo(1); // it went out at the planner's word
+    }
+
     @Override public void hold(Seen worker, String function, int copies, Order order) {
         next.add(c -> c.orderEnded(order, End.FINISHED, 1));
     }
