Tests: no execution within the margin of a limit, and k ends at its cap and its memory

A fault put in by hand (the margin dropped where an execution may begin) was caught by no test, as every other path gives up earlier: it shows after a pause of the router only.

--- a/src/test/java/switchgap/Bench.java
+++ b/src/test/java/switchgap/Bench.java
@@ -16,6 +16,8 @@
 import switchgap.port.Repeat;
 import switchgap.port.Standing;
 import switchgap.port.Terms;
+import switchgap.state.Function;
+import switchgap.state.Slots;
 
 /** The tests' one helper: terms that a test changes, one router under them, and its decisions as printed lines. */
 final class Bench implements Decisions {
@@ -165,6 +167,15 @@
         f.ended(job, execution, worker, end, ms(took), end == End.FINISHED, crowd, Double.NaN, Double.NaN, Double.NaN);
     }
 
+    /** The copy target of a function. */
+    int target(int function) {
+        return functions().get(function).target;
+    }
+
+    @SuppressWarnings("unchecked") private Slots<Function> functions() {
+        return (Slots<Function>) Held.field(decide, "functions");
+    }
+
     /** All that the module holds: elements of its tables. */
     long held() { return Held.by(decide, this); }
 
--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -291,6 +291,30 @@
         assertThat(b.count("hold function 0")).isZero();
     }
 
+    /** After a pause of the router a copy stands, but there is no time left to hear of an execution. */
+    @Test void withinTheMarginOfItsLimitAJobIsNotSentAnyMore() {
+        Bench b = new Bench(new Bench.Said());
+        b.at(0, f -> list(f, 1)).at(10, f -> b.job(f, 0, 0)).at(12, f -> b.end(f, 0, 0, 0, End.MISS, 2, -1));
+        b.at(2003, f -> f.orderEnded(0, 0, End.FINISHED, ms(1990), 1)); // its limit is 2010, the margin two ticks of 5
+        assertThat(b.count("send")).isEqualTo(1);
+        assertThat(b.count("push back job 0")).isEqualTo(1);
+    }
+
+    /** However crowded its copies are told to be: k ends at half of the ready workers, and at what their memory holds. */
+    @Test void theTargetEndsAtHalfOfTheWorkersAndAtTheirMemory() {
+        for (int size : new int[] {100, 9000}) {
+            Bench b = new Bench(new Bench.Said());
+            b.at(0, f -> list(f, 6));
+            for (int i = 0; i < 2000; i++) {
+                int t = 20 + 40 * i;
+                int j = i % 50;
+                b.at(t, f -> f.job(j, 0, 0, 0, 50, ms(t + 2000), null, size, 2, null, false));
+                if (b.sentTo(j) >= 0) { b.at(t + 30, f -> b.end(f, j, 0, b.sentTo(j), End.FINISHED, 30, 30)); }
+            }
+            assertThat(b.target(0)).isEqualTo(size == 100 ? 3 : 1); // six workers of 4,000 MB, half of them for copies
+        }
+    }
+
     /** The client has the execution now: no limit, no pushback, no further execution, until its end comes. */
     @Test void aStreamThatBeganIsLeftAloneUntilItsEnd() {
         Bench b = new Bench(new Bench.Said());
