A worker that answers nothing while an execution times out is judged by it: half open or hung

Seen: a worker that connects, takes bytes, answers nothing and stays listed went on drawing the jobs at home there: of each 20 calls over four workers 4 or 5 were lost to their limits, for as long as it lasted. Ruled out: links (each is closed at its time-out), the list (it knows of processes that run) and the bound (a few at a time, each for a whole limit). At fault: Decide.judge, which left time-outs out, as answers can get lost on the way. Change: a time-out past the start target counts as a failure where nothing at all was heard of that worker since the send; where answers get lost others of the same worker come between. It is judged against its peers and at most a third are shunned, as before. Could do harm where one function's few jobs all hang at a worker that serves nothing else. Test: four workers, one half open: the last 20 of 100 calls, 16 finished before, 18 or more after. Also: the memory span at its margin and its beginning (two faults put in by hand that no test caught).

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -440,6 +440,7 @@
             j.function.crowd.add(crowd / Math.min(j.function.lanes, MOST_LANES) * j.function.target);
         }
         judge(j, x, w, end, took);
+        if (end != End.TIMED_OUT && end != End.NO_CONNECTION) { w.heard = now; }
         if (end == End.FINISHED) {
             c.belief = Belief.STANDS;
             c.used = now;
@@ -508,7 +509,10 @@
         w.looks.forEach(j -> j.looks--);
         w.looks.clear();
         report(null, w, busy, Double.isNaN(held) ? queued + w.flying : held, -1, false);
-        if (end == End.FINISHED) { told = !Double.isNaN(held) || !Double.isNaN(queued); }
+        if (end == End.FINISHED) {
+            w.heard = now;
+            told = !Double.isNaN(held) || !Double.isNaN(queued);
+        }
         if (end == End.NO_CONNECTION || end == End.BROKEN) { fail(w, true); }
     }
 
@@ -603,7 +607,9 @@
             w.onTrial = false;
         } else if (end == End.FULL) {
             w.rest = now.plus(soonest.dividedBy(4)); // its waiting room is full: let it drain
-        } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION) {
+        } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION
+            // A hung worker takes jobs and answers none; where answers get lost others of the same worker come.
+            || end == End.TIMED_OUT && !less(took, j.of.target) && less(w.heard, now.minus(took))) {
             fail(w, end == End.NO_CONNECTION);
         }
     }
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -31,6 +31,8 @@
     public boolean onTrial;
     public Duration shunned;
     public Duration rest;
+    /** When it last answered anything. */
+    public Duration heard = Duration.ZERO;
     public double others;
     public double busy = 1;
     public Duration reported;
--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -75,6 +75,22 @@
         assertThat(b.count("push back") + b.count("kill")).isEqualTo(1);
     }
 
+    /** Of 1,000 ms less two ticks, whichever execution it was that ended: 980 ms on it may be repeated, 994 ms on no more. */
+    @Test void theMemorySpanCountsFromTheFirstExecutionThatMayHaveRun() {
+        for (int[] ends : new int[][] {{980, 2}, {994, 1}, {500, 980, 3}, {500, 994, 2}}) {
+            Bench.Said said = new Bench.Said();
+            said.repeat = Repeat.FINGERPRINTED;
+            Bench b = new Bench(said);
+            b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+            for (int i = 0; i < ends.length - 1; i++) {
+                int x = i;
+                int at = b.sentTo(0);
+                b.at(10 + ends[i], f -> b.end(f, 0, x, at, End.ERROR, 50, -1));
+            }
+            assertThat(b.count("send")).as(java.util.Arrays.toString(ends)).isEqualTo(ends[ends.length - 1]);
+        }
+    }
+
     @Test void eachJobGetsOneAnswerBeforeItsLimit() throws IOException {
         Bench b = new Bench(new Bench.Said());
         b.at(0, f -> list(f, 3)).at(10, f -> b.job(f, 0, 0));
--- a/src/test/java/switchgap/gateway/WorstMomentTest.java
+++ b/src/test/java/switchgap/gateway/WorstMomentTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
@@ -128,6 +129,22 @@
         };
     }
 
+    /** Half open: connects, takes bytes, never answers, stays listed. It must not go on drawing the jobs that are at home there. */
+    @Test void aHalfOpenWorkerIsFoundOutByItsSilence() throws Exception {
+        try (Peer dumb = new Peer(Peer::silent); Peer a = new Peer(Peer::well); Peer b = new Peer(Peer::well); Peer c = new Peer(Peer::well);
+             Served s = new Served("", dumb, a, b, c)) {
+            int finished = 0;
+            for (int round = 0; round < 5; round++) {
+                List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
+                for (int i = 0; i < 20; i++) { all.add(s.later("once-" + i, "1")); }
+                finished = 0;
+                for (var f : all) { finished += f.handle((r, e) -> e == null && end(r).equals("finished") ? 1 : 0).get(); }
+            }
+            assertThat(dumb.infers()).as("of 100 calls at the half-open worker").isLessThanOrEqualTo(12);
+            assertThat(finished).as("of the last twenty").isGreaterThanOrEqualTo(18);
+        }
+    }
+
     /** Each held a place among the connections for good: bytes of a head and then silence, or no byte at all. */
     @Test void aClientThatNeverGetsToAWholeRequestGivesItsPlaceBack() throws Exception {
         try (Peer a = new Peer(Peer::well); Served s = new Served("listen: {port: 0, arrival: 300ms, idle: 1s, connections: 3}\n", a)) {
