Remove what proved idle: shunning by slowness, falling past 1.2 of the memory, the rest after full

A slow worker is stepped round by its load, which its slowness weighs; a full one counts as twice what it may hold. The design's k, marks, order and bound are as they were.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -28,7 +28,7 @@
     private static final double UNLOAD_MARK = 0.15; // ... and falls a keep-alive below it
     private static final double ENOUGH = 4;        // answers that tell of a crowd or of health; more: halved
     private static final double MOST_COPIES = 0.5; // of the ready workers
-    private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far, falls past 1.2
+    private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double FURTHER = 4;       // workers past k that are looked at, and k more
@@ -36,7 +36,6 @@
     private static final double BUSY = 0.9;        // of its cores: below it what waits does not wait for them
     private static final double SHUN_MOST = 1 / 3.; // of the ready workers
     private static final double TOO_SHORT = 1.5;   // of the expected time: a nearer limit is hopeless
-    private static final double SLOW = 2;          // times as slow as its peers: shunned like one that errs
 
     private static final Duration SECOND = Duration.ofSeconds(1); // the design's pace of k
 
@@ -208,8 +207,7 @@
 
     private boolean hasRoom(Job j, Worker w) {
         return (part == 1 || w.busy < BUSY || others(w) * w.slowness * Math.min(1, j.luck) < places(j.of))
-            && w.flying - w.loading < bound(w) && w.flying < 3 * bound(w)
-            && (w.rest == null || !less(now, w.rest));
+            && w.flying - w.loading < bound(w) && w.flying < 3 * bound(w);
     }
 
     /** Orders the first of the k copies that does not stand; at size it is asked for first. */
@@ -287,7 +285,6 @@
         double all = (stretch.sum() + 4) / (stretch.total() + 4);
         for (Worker w : workers) {
             w.slowness = Math.max(0.5, (w.slow.sum() + 4 * all) / (w.slow.total() + 4) / all);
-            if (w.slowness > SLOW && w.slow.total() >= 4) { strike(w); }
             if (w.bad.total() > ENOUGH || seconds % 8 == 0) { // or whoever meets it seldom knows nothing
                 w.slow.halve();
                 w.bad.halve();
@@ -335,8 +332,7 @@
             int steps = (int) Math.max(1, (wanted - f.target) * (1 - part));
             f.target += steps;
             planned += steps * f.size;
-        } else if (f.target > 1 && (!past && planned > 1.2 * MEMORY * room
-            || !less(now.minus(f.busySince), keep))) { // at once: memory is overplanned
+        } else if (f.target > 1 && !less(now.minus(f.busySince), keep)) {
             f.target--;
             planned -= f.size;
             Worker last = f.target < order(f).length ? order(f)[f.target] : null;
@@ -605,8 +601,6 @@
             failing.add(0);
             w.strikes = w.onTrial ? 0 : w.strikes;
             w.onTrial = false;
-        } else if (end == End.FULL) {
-            w.rest = now.plus(soonest.dividedBy(4)); // its waiting room is full: let it drain
         } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION
             // A hung worker takes jobs and answers none; where answers get lost others of the same worker come.
             || end == End.TIMED_OUT && !less(took, j.of.target) && less(w.heard, now.minus(took))) {
--- a/src/main/java/switchgap/state/Worker.java
+++ b/src/main/java/switchgap/state/Worker.java
@@ -30,7 +30,6 @@
     public int strikes;
     public boolean onTrial;
     public Duration shunned;
-    public Duration rest;
     /** When it last answered anything. */
     public Duration heard = Duration.ZERO;
     public double others;
