--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -130,7 +130,7 @@
         }
         placeWaiting();
         Duration due = waiting.isEmpty() ? nextSecond : least(now.plus(step), nextSecond);
-        if (nextStep == null || less(nextStep, now) || less(due, nextStep)) { // one that was lost is not waited for
+        if (nextStep == null || less(nextStep, now) || less(due, nextStep)) { // a lost one is not waited for
             out.wake(due.minus(now), ++wakes);
             nextStep = due;
         }
@@ -478,7 +478,7 @@
             c.belief = standing > 0 ? Belief.STANDS : Belief.ABSENT;
         }
         if (heard) { return; }
-        c.out = false; // whatever is believed by now: orders that served before they ended stayed counted for ever
+        c.out = false; // whatever is believed by now: such orders stayed counted for ever
         ordersOut--;
         boolean well = end == End.FINISHED && less(took, keep.dividedBy(3));
         ordersMost = well ? ordersMost + 1 / ordersMost : Math.max(1, ordersMost / 2);
@@ -602,7 +602,7 @@
             w.strikes = w.onTrial ? 0 : w.strikes;
             w.onTrial = false;
         } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION
-            // A hung worker takes jobs and answers none; where answers get lost others of the same worker come.
+            // A hung worker answers nothing; where answers get lost, others of the same worker come.
             || end == End.TIMED_OUT && !less(took, j.of.target) && less(w.heard, now.minus(took))) {
             fail(w, end == End.NO_CONNECTION);
         }
