--- a/src/test/java/switchgap/Bench.java
+++ b/src/test/java/switchgap/Bench.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import switchgap.port.Decisions;
 import switchgap.port.End;
@@ -112,6 +113,8 @@
     private final List<String> lines = new ArrayList<>();
     private int at;
     int wakes;
+    /** Told of each load order: the worker and the function. */
+    BiConsumer<Integer, Integer> onHold = (w, f) -> { };
     private final Map<Integer, Integer> sent = new HashMap<>();
 
     Bench(Terms terms) {
@@ -183,6 +186,9 @@
         return String.join("\n", lines) + "\n";
     }
 
+    /** Executions of a job so far. */
+    int tries(int job) { return (int) lines.stream().filter(l -> l.contains(" send job " + job + " ")).count(); }
+
     /** Where a job was sent last, -1 if nowhere. */
     int sentTo(int job) { return sent.getOrDefault(job, -1); }
 
@@ -212,6 +218,7 @@
     @Override public void kill(int job) { say("kill job " + job); }
 
     @Override public void hold(int worker, int function, int copies) {
+        if (copies > 0) { onHold.accept(worker, function); }
         say((copies == 0 ? "ask" : "hold") + " function " + function + " at worker " + worker);
     }
 
