A new process is taken to be cold by the one check there is

Cause: worker() compared a new process's start with the cold span once more beside cold(), as its start was noted too late. Change: the start is noted first and cold() asked. No behaviour changed.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -539,10 +539,11 @@
             workers.set(worker, w);
         }
         if (started != null && !started.equals(w.started)) {
+            w.started = started;
+            w.empty = cold(w);
             for (Function f : functions) { // a new process: empty, cold and not to blame for the old one
                 if (f.at(w).belief != Belief.ORDERED) { f.at(w).belief = Belief.ABSENT; }
             }
-            w.empty = less(now.minus(started), coldSpan);
             w.slow.clear();
             w.bad.clear();
             w.shunned = null;
