Orders, links and level changes: one piece for what stood two to four times

Change: Core.order and Core.ends, Inference.go, Asked.endUnsent, Levels.keep; the leave of a worker looked at once in Pool.ask and said plainly in Core.takes; Order.ended, which nothing called since the planner's window went, is gone. No behaviour changed, no assertion or bound touched.

--- a/src/main/java/switchgap/level/Levels.java
+++ b/src/main/java/switchgap/level/Levels.java
@@ -258,10 +258,14 @@
     }
 
     private void note(Duration now, int customer, Rung from, Rung to, String why) {
-        if (changes.size() == KEPT) { changes.remove(0); }
-        changes.add(new Change(now, customer, from, to, why, pressure(), calls));
-        if (fresh.size() == KEPT) { fresh.remove(0); } // where nobody asks
-        fresh.add(changes.get(changes.size() - 1));
+        Change c = new Change(now, customer, from, to, why, pressure(), calls);
+        keep(changes, c);
+        keep(fresh, c);
+    }
+
+    private static void keep(List<Change> last, Change c) {
+        if (last.size() == KEPT) { last.remove(0); }
+        last.add(c);
     }
 
     private final List<Change> fresh = new ArrayList<>();
--- a/src/main/java/switchgap/router/Core.java
+++ b/src/main/java/switchgap/router/Core.java
@@ -163,28 +163,29 @@
     }
 
     public void orderEnded(Order o, End end, int standing) {
-        if (o.ended) { return; }
-        o.ended = true;
-        timers.stop(o.timer);
-        if (known(o.worker)) {
+        if (ends(o) && known(o.worker)) {
             feed.orderEnded(o.worker.index, o.function, end, now.minus(o.sent), standing);
         }
     }
 
     public void dropEnded(Order o) {
-        o.ended = true;
-        timers.stop(o.timer);
+        ends(o);
     }
 
     public void probed(Order o, End end, Loads loads) {
-        if (o.ended) { return; }
-        o.ended = true;
-        timers.stop(o.timer);
-        if (known(o.worker)) {
+        if (ends(o) && known(o.worker)) {
             feed.probed(o.worker.index, end, now.minus(o.sent), loads.busy(), loads.held(), loads.queued());
         }
     }
 
+    /** Whether this is its first end. */
+    private boolean ends(Order o) {
+        boolean first = !o.ended;
+        o.ended = true;
+        timers.stop(o.timer);
+        return first;
+    }
+
     /** A version of the list, whole or its changes; a worker with a new address is a new process to the links. */
     public void list(boolean whole, List<Listed> lines) {
         feed.listBegins(whole);
@@ -215,9 +216,9 @@
     }
 
     private void takes(Seen s, boolean takesNew, boolean forGood) {
-        boolean told = s.takesNew == takesNew && !forGood;
+        boolean stops = s.takesNew && !takesNew;
         s.takesNew = takesNew;
-        if (!told && !takesNew) { outside.refuses(s, forGood); }
+        if (stops || forGood) { outside.refuses(s, forGood); }
     }
 
     public void listFailed() {
@@ -291,36 +292,30 @@
         }
 
         @Override public void hold(int worker, int function, int copies) {
-            Order o = new Order(workers.get(worker), function, now);
-            o.timer = timers.at(now.plus(orderLimit), () -> {
-                if (!o.ended) {
-                    outside.abandon(o);
-                    orderEnded(o, End.TIMED_OUT, 0);
-                }
-            });
+            Order o = order(worker, function, orderLimit, x -> orderEnded(x, End.TIMED_OUT, 0));
             outside.hold(o.worker, functions.name(function), copies, o);
         }
 
         @Override public void drop(int worker, int function) {
-            Order o = new Order(workers.get(worker), function, now);
-            o.timer = timers.at(now.plus(orderLimit), () -> { // or each one at a silent worker keeps a link for ever
-                o.ended = true;
-                outside.abandon(o);
-            });
+            Order o = order(worker, function, orderLimit, Core.this::dropEnded); // or at a silent worker it keeps a link for ever
             outside.drop(o.worker, functions.name(function), o);
         }
 
         @Override public void probe(int worker) {
-            Order o = new Order(workers.get(worker), -1, now);
-            o.timer = timers.at(now.plus(probeLimit), () -> {
-                if (!o.ended) {
-                    outside.abandon(o);
-                    probed(o, End.TIMED_OUT, Loads.UNTOLD);
-                }
-            });
+            Order o = order(worker, -1, probeLimit, x -> probed(x, End.TIMED_OUT, Loads.UNTOLD));
             outside.probe(o.worker, o);
         }
 
+        /** An order that is given up after its limit, and how its end is then told. */
+        private Order order(int worker, int function, Duration limit, Consumer<Order> timedOut) {
+            Order o = new Order(workers.get(worker), function, now);
+            o.timer = timers.at(now.plus(limit), () -> {
+                outside.abandon(o);
+                timedOut.accept(o);
+            });
+            return o;
+        }
+
         @Override public void wake(Duration after, long token) {
             timers.at(now.plus(after), () -> feed.timer(token));
         }
--- a/src/main/java/switchgap/router/Order.java
+++ b/src/main/java/switchgap/router/Order.java
@@ -18,9 +18,6 @@
         this.sent = sent;
     }
 
-    /** Whether its end was told; on the core's thread. */
-    public boolean ended() { return ended; }
-
     /** When the module gave it. */
     public Duration sentAt() { return sent; }
 }
--- a/src/main/java/switchgap/workers/Asked.java
+++ b/src/main/java/switchgap/workers/Asked.java
@@ -72,6 +72,13 @@
         return was;
     }
 
+    /** Ends it as never sent; false where it was over already. */
+    final boolean endUnsent(End end, String why) {
+        boolean was = over();
+        if (was) { unsent(end, why); }
+        return was;
+    }
+
     final synchronized boolean isOver() { return state == State.OVER; }
 
     final synchronized boolean unsent() {
--- a/src/main/java/switchgap/workers/Inference.java
+++ b/src/main/java/switchgap/workers/Inference.java
@@ -171,6 +171,11 @@
         @Override void lost(String why) { end(End.BROKEN, Orca.read(Map.of())); }
     }
 
+    private void go(Seen worker, Order order, Asked a) {
+        order.exchange = a;
+        both(worker).orders().ask(a);
+    }
+
     @Override public void hold(Seen worker, String function, int copies, Order order) {
         byte[] content = copies == 0 ? NOTHING
             : ("{\"parameters\":{\"copies\":" + copies + "}}").getBytes(StandardCharsets.UTF_8);
@@ -182,8 +187,7 @@
                 events.accept(c -> c.orderEnded(order, end, standing));
             }
         };
-        order.exchange = a;
-        both(worker).orders().ask(a);
+        go(worker, order, a);
     }
 
     @Override public void drop(Seen worker, String function, Order order) {
@@ -191,16 +195,14 @@
             "{\"parameters\":{\"idle_only\":true}}".getBytes(StandardCharsets.UTF_8)) {
             @Override void end(End end, Orca orca) { events.accept(c -> c.dropEnded(order)); }
         };
-        order.exchange = a;
-        both(worker).orders().ask(a);
+        go(worker, order, a);
     }
 
     @Override public void probe(Seen worker, Order order) {
         Asked a = new Errand(worker, "GET", "/v2/health/ready", NOTHING) {
             @Override void end(End end, Orca orca) { events.accept(c -> c.probed(order, end, orca.loads())); }
         };
-        order.exchange = a;
-        both(worker).orders().ask(a);
+        go(worker, order, a);
     }
 
     @Override public void list() { askList.run(); }
--- a/src/main/java/switchgap/workers/Pool.java
+++ b/src/main/java/switchgap/workers/Pool.java
@@ -41,12 +41,12 @@
         a.pool = this;
         HttpLink link = null;
         synchronized (this) {
-            if (a.wanted()) { link = takeIdle(); }
-            if (link == null && a.wanted()) {
-                if (waiting.size() >= mostWaiting) {
+            if (a.wanted()) {
+                link = takeIdle();
+                if (link == null && waiting.size() >= mostWaiting) {
                     waiting.removeIf(w -> !w.unsent());
                 }
-                if (waiting.size() < mostWaiting) {
+                if (link == null && waiting.size() < mostWaiting) {
                     waiting.add(a);
                     a = null;
                 }
@@ -54,9 +54,7 @@
         }
         if (link != null) {
             put(a, link);
-        } else if (a != null && a.over()) {
-            a.unsent(End.NOT_SENT, "too many wait for a connection, or its worker takes nothing new");
-        } else {
+        } else if (a == null || !a.endUnsent(End.NOT_SENT, "too many wait for a connection, or its worker takes nothing new")) {
             openMore();
         }
     }
@@ -70,7 +68,7 @@
     /** Puts an exchange on a link; a link that took nothing is no loss, the next one is tried. */
     private void put(Asked a, HttpLink link) {
         if (!a.go(link)) { // told at once: what is known not to have run can still be placed elsewhere
-            if (a.over()) { a.unsent(End.NOT_SENT, "its worker takes nothing new, or its time is over"); }
+            a.endUnsent(End.NOT_SENT, "its worker takes nothing new, or its time is over");
             back(link);
         } else if (!link.ask(a.method, a.path, a.headers, a.body, a)) {
             if (a.back()) { ask(a); }
@@ -104,7 +102,7 @@
                         opening--;
                         a = waiting.size() > opening ? next() : null;
                     }
-                    if (a != null && a.over()) { a.unsent(End.NO_CONNECTION, why); }
+                    if (a != null) { a.endUnsent(End.NO_CONNECTION, why); }
                     openMore(); // more may wait than links may be open: each is tried, and told, in its turn
                 }
             });
@@ -147,9 +145,7 @@
             all = List.copyOf(waiting);
             waiting.clear();
         }
-        all.forEach(a -> {
-            if (a.over()) { a.unsent(End.NOT_SENT, "its worker takes nothing new"); }
-        });
+        all.forEach(a -> a.endUnsent(End.NOT_SENT, "its worker takes nothing new"));
     }
 
     /** Its worker is gone for good: links close as they fall idle. */
--- a/src/test/java/switchgap/router/LinksTest.java
+++ b/src/test/java/switchgap/router/LinksTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +16,6 @@
 import switchgap.Held;
 import switchgap.gateway.Peer;
 import switchgap.port.Decisions;
-import switchgap.port.End;
 import switchgap.port.Feed;
 import switchgap.port.Standing;
 import switchgap.terms.Page;
@@ -49,35 +49,15 @@
     private void links(int most, int waiting) {
         links = new Inference(new HttpLink.Opener(net, null, 1 << 16), new Inference.Links(most, waiting, Duration.ofMillis(250),
             Duration.ofSeconds(30)), carriers, events::add, () -> { });
-        Feed feed = new Feed() {
-            @Override public void listBegins(boolean whole) { }
-
-            @Override public void worker(int w, long m, Standing s, int z, int c, int k, double size, Duration started) { }
-
-            @Override public void listEnds() { }
-
-            @Override public void listFailed() { }
-
-            @Override public void job(int job, int w, int c, int f, long mark, Duration limit, Duration hint, double memory,
-                                      int lanes, Duration load, boolean repeat) { }
-
-            @Override public void streamBegan(int job, int execution) { }
-
-            @Override public void ended(int job, int x, int worker, End end, Duration took, boolean closed, int crowd,
-                                        double busy, double held, double queued) { heard.add(job + " " + end); }
-
-            @Override public void left(int job) { }
-
-            @Override public void timer(long token) { }
-
-            @Override public void probed(int worker, End end, Duration took, double busy, double held, double queued) {
-                heard.add("probed " + end);
-            }
-
-            @Override public void orderEnded(int worker, int function, End end, Duration took, int standing) {
-                heard.add("ordered " + end);
+        Feed feed = (Feed) Proxy.newProxyInstance(Feed.class.getClassLoader(), new Class<?>[] {Feed.class}, (p, m, a) -> {
+            switch (m.getName()) {
+                case "ended" -> heard.add(a[0] + " " + a[3]);
+                case "probed" -> heard.add("probed " + a[1]);
+                case "orderEnded" -> heard.add("ordered " + a[2]);
+                default -> { }
             }
-        };
+            return null;
+        });
         core = new Core(new PageTerms(Page.read("t", TERMS)), (now, in, out) -> {
             in.into(feed);
             List.copyOf(say).forEach(s -> s.accept(out));
