--- a/src/main/java/switchgap/cli/Commands.java
+++ b/src/main/java/switchgap/cli/Commands.java
@@ -20,7 +20,7 @@
     description = "A gateway for functions that workers load on demand.",
     subcommands = {Commands.Router.class, PlannerCommand.class, StatusCommand.class, CallCommand.class, LevelsCommand.class, Commands.Standin.class, Commands.DayCommand.class, Commands.DemoCommand.class,
         LabCommand.class, LoadCommand.class, Commands.ExperimentCommand.class,
-        Commands.Simhost.class})
+        Commands.ServeCommand.class, Commands.Simhost.class})
 public final class Commands {
     private Commands() { }
 
@@ -179,6 +179,12 @@
         }
     }
 
+    @Command(name = "serve", description = "Runs a router on the platform until SIGTERM, by NODE_NAME, NODE_LISTEN and NODE_CONFIG.",
+        mixinStandardHelpOptions = true)
+    static final class ServeCommand implements Callable<Integer> {
+        @Override public Integer call() { return switchgap.platform.Serve.run(); }
+    }
+
     @Command(name = "simhost", description = "Hosts router instances on the simulator's wire, on standard input and output.",
         mixinStandardHelpOptions = true)
     static final class Simhost implements Callable<Integer> {
--- a/src/main/java/switchgap/cli/Main.java
+++ b/src/main/java/switchgap/cli/Main.java
@@ -8,7 +8,7 @@
 import switchgap.simhost.BadFrame;
 import switchgap.simhost.Host;
 
-/** The program's entry. The simulator's host is light: it starts before any library is touched. */
+/** The program's entry. The simulator's host and the platform's router start before libraries that they don't need. */
 public final class Main {
     private Main() { }
 
@@ -16,6 +16,9 @@
         if (args.length == 1 && args[0].equals("simhost")) {
             System.exit(simhost());
         }
+        if (args.length == 1 && args[0].equals("serve")) {
+            Runtime.getRuntime().halt(switchgap.platform.Serve.run()); // all is answered by now: nothing is left to hook
+        }
         System.exit(Commands.run(args));
     }
 
--- /dev/null
+++ b/src/main/java/switchgap/controlfeed/Follow.java
@@ -0,0 +1,155 @@
+package switchgap.controlfeed;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import switchgap.wire.Clock;
+import switchgap.wire.HttpLink;
+
+/**
+ * Follows the control feed from a number on. Events are handed on once each and in order; whatever befalls the feed, the
+ * last list stays in force. States: ASKING, FOLLOWING, AWAY (asks again after a pause), CLOSED. A feed that says nothing
+ * for longer than two of its comments is asked anew on a further connection: one that is half open sounds like a fleet in
+ * which nothing changes.
+ */
+public final class Follow implements AutoCloseable {
+    private enum State { ASKING, FOLLOWING, AWAY, CLOSED }
+
+    private static final int MOST_EVENT = 1 << 20;
+    private static final Duration SILENCE = Duration.ofMillis(2300); // two comments, one each second, and a little
+    private static final Duration LOOK = Duration.ofMillis(200);
+    private static final Duration CONNECT = Duration.ofMillis(1000);
+    private static final Duration PAUSE = Duration.ofMillis(100);    // doubled with each try, up to the silence
+    private static final Duration LASTS = Duration.ofMillis(500);    // following for so long, it is well again
+    private final HttpLink.Opener opener;
+    private final Event.Book book;
+    private final Consumer<Event> events;
+    private final Consumer<String> log;
+    private final ScheduledFuture<?> look;
+    private InetSocketAddress feed;
+    private State state = State.AWAY;
+    private long last;
+    private long gap;      // the number that a gap was met at: met again, it is all that there is
+    private int tries;
+    private long turn;     // of the connection asked for last: whatever an earlier one says counts for nothing
+    private HttpLink link;
+    private long heard;
+
+    /** {@code last}: the number of the last event known already. */
+    public Follow(HttpLink.Opener opener, InetSocketAddress feed, long last, Event.Book book, Consumer<Event> events, Consumer<String> log) {
+        this.opener = opener;
+        this.feed = feed;
+        this.last = last;
+        this.book = book;
+        this.events = events;
+        this.log = log;
+        look = Clock.LATER.scheduleAtFixedRate(this::look, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Begins, or goes over to another address from the last number on. */
+    public synchronized void follow(InetSocketAddress to) {
+        if (state == State.CLOSED) { return; }
+        feed = to;
+        tries = 0;
+        ask();
+    }
+
+    private synchronized void look() {
+        boolean silent = (state == State.ASKING || state == State.FOLLOWING) && System.nanoTime() - heard > SILENCE.toNanos();
+        if (silent) {
+            log.accept("control feed silent, it is asked anew");
+            ask();
+        }
+    }
+
+    private synchronized void ask() {
+        if (state == State.CLOSED) { return; }
+        state = State.ASKING;
+        heard = System.nanoTime();
+        long mine = ++turn;
+        opener.open(feed, CONNECT, new HttpLink.Opening() {
+            @Override public void open(HttpLink l) { asked(mine, l); }
+
+            @Override public void failed(String why) { away(mine, why); }
+        });
+    }
+
+    private synchronized void asked(long mine, HttpLink l) {
+        if (mine != turn || state == State.CLOSED) {
+            l.close();
+            return;
+        }
+        if (link != null) { link.close(); }
+        link = l;
+        l.ask("GET", "/v1/events", Map.of("Last-Event-ID", String.valueOf(last), "Accept", "text/event-stream"), new byte[0], new Stream(mine));
+    }
+
+    private synchronized void away(long mine, String why) {
+        if (mine != turn || state == State.CLOSED) { return; }
+        if (tries == 0) { log.accept("control feed away, the last list stays: " + why); }
+        Duration pause = tries == 0 ? Duration.ZERO : PAUSE.multipliedBy(1L << Math.min(tries - 1, 4));
+        tries++;
+        state = State.AWAY;
+        long then = ++turn;
+        HttpLink old = link;
+        link = null;
+        if (old != null) { old.close(); }
+        Clock.LATER.schedule(() -> again(then), pause.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void again(long mine) {
+        if (mine == turn && state == State.AWAY) { ask(); }
+    }
+
+    private synchronized void event(long mine, String text) {
+        if (mine != turn || state == State.CLOSED) { return; }
+        try {
+            Event e = Event.read(text, book);
+            if (e.number() <= last) { return; } // told before
+            if (e.number() > last + 1 && !e.whole() && gap != e.number()) {
+                gap = e.number();
+                away(mine, "event " + e.number() + " follows " + last);
+                return;
+            }
+            last = e.number();
+            if (e.workers() != null) { events.accept(e); }
+        } catch (IOException | RuntimeException x) {
+            away(mine, x.getMessage()); // the next connection tells it whole
+        }
+    }
+
+    @Override public synchronized void close() {
+        state = State.CLOSED;
+        look.cancel(false);
+        if (link != null) { link.close(); }
+    }
+
+    private final class Stream implements HttpLink.Exchange {
+        private final long mine;
+        private final Sse sse = new Sse(MOST_EVENT);
+        private final long began = System.nanoTime();
+
+        Stream(long mine) { this.mine = mine; }
+
+        @Override public boolean piece(byte[] bytes) {
+            synchronized (Follow.this) {
+                if (mine != turn) { return true; }
+                heard = System.nanoTime();
+                state = State.FOLLOWING;
+                if (heard - began > LASTS.toNanos()) { tries = 0; } // one that breaks off at once is not asked at full speed
+            }
+            if (!sse.take(bytes, (id, data) -> event(mine, data))) { away(mine, "an event over " + MOST_EVENT + " bytes"); }
+            return true;
+        }
+
+        @Override public void answered(int status, Map<String, String> headers, byte[] body, boolean reusable) {
+            away(mine, "it ended with status " + status);
+        }
+
+        @Override public void broken(String why) { away(mine, why); }
+    }
+}
--- a/src/main/java/switchgap/gateway/Gateway.java
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import switchgap.level.Levels;
 import switchgap.link.EdgeDoor;
 import switchgap.list.ListWatch;
+import switchgap.loop.Loop;
 import switchgap.plan.Plan;
 import switchgap.router.Core;
 import switchgap.router.Deferred;
@@ -36,6 +37,7 @@
     private final Net net;
     private final Carriers carriers;
     private final Loop loop;
+    private final Histogram lateness = new Histogram(60_000_000, 2); // microseconds; read by others through lateness()
     private final InvokeApi api;
     private final HttpDoor door;
     private final ListWatch watch;
@@ -65,7 +67,7 @@
             made.set(new Inference(opener, page.links(), carriers, l::post, () -> listening.get().run()));
             if (page.planner() != null) { behind.set(new Planned(made.get(), terms, page.patience(), l::post)); }
             return new Core(terms, decide, behind.get() == null ? made.get() : behind.get(), page.orderLimit(), page.probeLimit(), page.mostFunctions());
-        }, "loop-" + terms.self());
+        }, "loop-" + terms.self(), this::late, Gateway::failed);
         workers = made.get();
         planned = behind.get();
         Levels levels = terms.levelsAct() ? new Levels(terms.levelTerms(), page.seed() * 31 + bornWall) : null;
@@ -137,7 +139,18 @@
     public long[] ends() { return api.ends(); }
 
     /** Microseconds by which the loop came late. */
-    public Histogram lateness() { return loop.lateness(); }
+    public Histogram lateness() {
+        synchronized (lateness) { return lateness.copy(); }
+    }
+
+    private void late(long micros) {
+        synchronized (lateness) { lateness.recordValue(Math.min(micros, lateness.getHighestTrackableValue())); }
+    }
+
+    private static void failed(RuntimeException e) {
+        LOG.error("a round failed; the router stops, its clients may retry", e);
+        Runtime.getRuntime().halt(70);
+    }
 
     /** Takes nothing more, waits until all that is held has its answer, then closes. */
     public void stop() {
@@ -155,7 +168,7 @@
             }
         }
         long[] n = api.ends();
-        Histogram late = loop.lateness();
+        Histogram late = lateness();
         LOG.info("stopped: {} finished, {} pushed back, {} killed, {} overdue; loop late by us: p50 {} p99 {} p99.9 {} "
             + "most {}", n[0], n[1], n[2], n[3], late.getValueAtPercentile(50), late.getValueAtPercentile(99),
             late.getValueAtPercentile(99.9), late.getMaxValue());
--- /dev/null
+++ b/src/main/java/switchgap/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON texts as plain values, bounded. */
+package switchgap.json;
--- a/src/main/java/switchgap/link/EdgeDoor.java
+++ b/src/main/java/switchgap/link/EdgeDoor.java
@@ -44,7 +44,7 @@
     private final int router;
     private final Heard heard;
     private final AtomicReference<Planner> planner = new AtomicReference<>();
-    private final FrameLink.Door door;
+    private final switchgap.wire.ByteLink.Door door;
     private final ScheduledFuture<?> watch;
     private long epochs = System.currentTimeMillis() * 1000; // past those of any process before it
 
--- a/src/main/java/switchgap/gateway/Loop.java
+++ b/src/main/java/switchgap/loop/Loop.java
@@ -1,4 +1,4 @@
-package switchgap.gateway;
+package switchgap.loop;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -7,54 +7,53 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.HdrHistogram.Histogram;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.function.LongConsumer;
 import switchgap.router.Core;
 
 /** The router's one thread: gathers events, runs rounds, sleeps until the next is due. */
-final class Loop implements Runnable {
-    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+public final class Loop implements Runnable {
     private static final int MOST_EVENTS = 512;
     private final long born = System.nanoTime();
     private final ConcurrentLinkedQueue<Consumer<Core>> queue = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<Consumer<Core>> urgent = new ConcurrentLinkedQueue<>();
     private final Core core;
     private final Thread thread;
-    /** Microseconds by which rounds came after their due time; read by others through {@link #lateness()}. */
-    private final Histogram late = new Histogram(60_000_000, 2);
+    private final LongConsumer late;
+    private final Consumer<RuntimeException> failed;
     private volatile boolean stopped;
     private volatile boolean asleep;
 
-    Loop(Function<Loop, Core> make, String name) {
+    /**
+     * {@code late} hears the microseconds by which a round came after its due time, {@code failed} of a round that
+     * failed: the loop ends there, as what is half done can't be gone on from.
+     */
+    public Loop(Function<Loop, Core> make, String name, LongConsumer late, Consumer<RuntimeException> failed) {
+        this.late = late;
+        this.failed = failed;
         core = make.apply(this);
         thread = new Thread(this, name);
     }
 
-    void start() {
+    public void start() {
         thread.start();
     }
 
-    Duration now() {
+    public Duration now() {
         return Duration.ofNanos(System.nanoTime() - born);
     }
 
     /** Goes before all that waits: news of workers that drain must not stand in line. */
-    void postFirst(Consumer<Core> event) {
+    public void postFirst(Consumer<Core> event) {
         urgent.add(event);
         if (asleep) { LockSupport.unpark(thread); }
     }
 
-    void post(Consumer<Core> event) {
+    public void post(Consumer<Core> event) {
         queue.add(event);
         if (asleep) { LockSupport.unpark(thread); }
     }
 
-    synchronized Histogram lateness() {
-        return late.copy();
-    }
-
-    void stop() {
+    public void stop() {
         stopped = true;
         LockSupport.unpark(thread);
         try {
@@ -77,21 +76,17 @@
                 sleep(due, now);
                 continue;
             }
-            if (isDue) { told(now.minus(due)); }
+            if (isDue) { late.accept(now.minus(due).toNanos() / 1000); }
             try {
                 core.round(now, batch);
             } catch (RuntimeException e) {
-                LOG.error("a round failed; the router stops, its clients may retry", e);
-                Runtime.getRuntime().halt(70);
+                failed.accept(e);
+                return;
             }
             batch.clear();
         }
     }
 
-    private synchronized void told(Duration by) {
-        late.recordValue(Math.min(by.toNanos() / 1000, 60_000_000));
-    }
-
     private void sleep(Duration due, Duration now) {
         asleep = true;
         if (queue.isEmpty() && urgent.isEmpty() && !stopped) {
--- /dev/null
+++ b/src/main/java/switchgap/platform/Serve.java
@@ -0,0 +1,41 @@
+package switchgap.platform;
+
+import java.io.IOException;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** The command {@code serve}: a router on the platform until SIGTERM. Exit codes: 0 stopped, 1 failed, 2 unusable input. */
+public final class Serve {
+    private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly"); // held, or its level is lost
+
+    private Serve() { }
+
+    public static int run() {
+        Log log = new Log();
+        GRIZZLY.setLevel(Level.OFF); // it tells of each connection that a peer broke
+        try {
+            Signals signals = new Signals();
+            Platform p = new Platform(Given.read(System.getenv(), System.currentTimeMillis()), log);
+            signals.hup(() -> {
+                try {
+                    var feed = Given.feed(System.getenv());
+                    log.line("SIGHUP: the control feed is followed at " + feed.getHostString() + ":" + feed.getPort());
+                    p.follow(feed);
+                } catch (Unusable x) {
+                    log.line("SIGHUP: the old feed is kept: " + x.getMessage());
+                }
+            });
+            signals.awaitTerm();
+            p.stop();
+            return 0;
+        } catch (Unusable x) {
+            System.err.println("switchgap: " + x.getMessage());
+            return 2;
+        } catch (IOException | ReflectiveOperationException x) {
+            System.err.println("switchgap: " + x.getMessage());
+            return 1;
+        } catch (InterruptedException x) {
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/resp/Errand.java
@@ -0,0 +1,53 @@
+package switchgap.resp;
+
+import switchgap.port.End;
+import switchgap.router.Call;
+import switchgap.router.Core;
+import switchgap.router.Seen;
+
+/**
+ * One exchange with a worker: an execution, an order or a probe. WAITING: no byte has gone out; OUT on a link; OVER.
+ * All of it belongs to the router's loop.
+ */
+final class Errand {
+    enum State { WAITING, OUT, OVER }
+
+    /** Hears once how it ended, with the reply where there was one. */
+    interface Ended {
+        void ended(Core c, End end, Reply reply);
+    }
+
+    final Seen worker;
+    /** What its answer will bear; null where none comes. */
+    final String id;
+    /** The call of an execution, else null. */
+    final Call call;
+    final byte[] command;
+    private final boolean harmless;
+    private final Ended ended;
+    State state = State.WAITING;
+    Link link;
+    /** Nanoseconds of the loop: when it went out, and when it is given up. */
+    long sent;
+    final long until;
+
+    /** {@code harmless}: a worker that takes nothing new may still have it. */
+    Errand(Seen worker, String id, Call call, boolean harmless, byte[] command, long until, Ended ended) {
+        this.worker = worker;
+        this.id = id;
+        this.call = call;
+        this.harmless = harmless;
+        this.command = command;
+        this.until = until;
+        this.ended = ended;
+    }
+
+    boolean mayGo() { return state == State.WAITING && (harmless || worker.takesNew); }
+
+    void end(Core c, End end, Reply reply) {
+        if (state != State.OVER) {
+            state = State.OVER;
+            ended.ended(c, end, reply);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/resp/Pool.java
@@ -0,0 +1,188 @@
+package switchgap.resp;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import switchgap.port.End;
+import switchgap.router.Core;
+import switchgap.router.Run;
+
+/**
+ * Connections to one worker, few and shared, each with as little out as can be: an answer that can't be read takes all
+ * of its connection with it. Nothing is ever sent again by itself. Exchanges wait only while a connection is being
+ * opened. All of it belongs to the router's loop.
+ */
+final class Pool {
+    private static final int MOST_UNSENT = 64 << 10; // bytes: a link that takes no more of them is passed over
+    private final Workers workers;
+    private final InetSocketAddress address;
+    private final List<Link> links = new ArrayList<>();
+    private final ArrayDeque<Errand> waiting = new ArrayDeque<>();
+    private int opening;
+    private boolean retired;
+
+    Pool(Workers workers, InetSocketAddress address) {
+        this.workers = workers;
+        this.address = address;
+    }
+
+    void ask(Errand e) {
+        Link l = e.mayGo() && !retired ? least(e) : null;
+        if (e.mayGo() && !retired && (l == null || !l.out.isEmpty()) && mayOpen()) {
+            opening++;
+            workers.dial(this, address);
+        }
+        if (l != null) {
+            put(e, l);
+        } else if (e.mayGo() && opening > 0 && waiting.size() < workers.bounds.waiting()) {
+            waiting.add(e);
+        } else {
+            workers.soon(c -> e.end(c, End.NOT_SENT, null));
+        }
+    }
+
+    /** Mute links count for nothing: each is replaced, and closed once nothing is out on it. */
+    private boolean mayOpen() {
+        int live = opening;
+        for (Link l : links) { live += l.mute ? 0 : 1; }
+        return live < workers.bounds.links() && links.size() + opening < 2 * workers.bounds.links();
+    }
+
+    /** The usable link with the least out, or null. */
+    private Link least(Errand e) {
+        Link least = null;
+        for (Link l : links) {
+            boolean usable = !l.mute && l.bytes.open() && l.out.size() < workers.bounds.multiplex()
+                && l.bytes.unsent() <= MOST_UNSENT && !met(e, l);
+            if (usable && (least == null || l.out.size() < least.out.size())) { least = l; }
+        }
+        return least;
+    }
+
+    /** Whether an earlier execution of the job went out there: both bear its id, and a late answer would be the wrong one's. */
+    private static boolean met(Errand e, Link l) {
+        if (e.call == null) { return false; }
+        for (Run r : e.call.runs()) {
+            if (r.exchange instanceof Errand o && o != e && o.link == l) { return true; }
+        }
+        return false;
+    }
+
+    private void put(Errand e, Link l) {
+        if (!e.mayGo() || !l.bytes.send(e.command)) { // no byte of it went out
+            workers.soon(c -> e.end(c, End.NOT_SENT, null));
+            return;
+        }
+        e.state = Errand.State.OUT;
+        e.link = l;
+        e.sent = workers.nanos();
+        l.used = e.sent;
+        if (e.id != null) { l.out.put(e.id, e); } else { workers.soon(c -> e.end(c, End.FINISHED, null)); }
+    }
+
+    /** A connection is up. */
+    void opened(Core c, Link l) {
+        opening--;
+        if (retired || !l.bytes.open()) {
+            l.bytes.close("its worker is gone");
+        } else {
+            links.add(l);
+        }
+        settle(c, End.NOT_SENT);
+    }
+
+    void failed(Core c) {
+        opening--;
+        settle(c, End.NO_CONNECTION);
+    }
+
+    /** Places what waits; with no connection under way the rest is told at once that it never went out. */
+    private void settle(Core c, End none) {
+        for (int n = waiting.size(); n > 0; n--) {
+            Errand e = waiting.poll();
+            if (e.state != Errand.State.WAITING) { continue; }
+            Link to = least(e);
+            if (to != null) {
+                put(e, to);
+            } else if (opening > 0) {
+                waiting.add(e);
+            } else {
+                e.end(c, links.isEmpty() ? none : End.NOT_SENT, null);
+            }
+        }
+    }
+
+    /** A connection ended; what was out on it may have run. */
+    void closed(Core c, Link l) {
+        links.remove(l);
+        List<Errand> all = List.copyOf(l.out.values());
+        l.out.clear();
+        all.forEach(e -> e.end(c, End.BROKEN, null));
+    }
+
+    /** An answer; one for an id that is not out on this very connection is passed over. */
+    void answered(Core c, Link l, Reply r) {
+        l.mute = false;
+        l.heard = workers.nanos();
+        Errand e = l.out.get(r.id());
+        if (e == null) { return; }
+        End end = r.end();
+        if (end == null) {
+            l.bytes.close("an answer of no known word");
+            return;
+        }
+        l.out.remove(r.id());
+        l.used = l.heard;
+        e.end(c, end, r);
+    }
+
+    /** Ends an exchange whose answer is not wanted any more; tells what that proves. */
+    End abandon(Errand e) {
+        Errand.State was = e.state;
+        e.state = Errand.State.OVER;
+        if (was == Errand.State.WAITING) {
+            waiting.remove(e);
+            return links.isEmpty() ? End.NO_CONNECTION : End.NOT_SENT;
+        }
+        Link l = e.link;
+        if (was == Errand.State.OUT && l.out.remove(e.id, e)) {
+            l.mute |= workers.nanos() >= e.until && l.heard < e.sent;
+            if (l.mute && l.out.isEmpty()) {
+                l.bytes.close("it says nothing"); // which gives up all that was open on it
+            } else if (e.call != null) {
+                l.bytes.send(Command.of("UNDO", e.id));
+            }
+        }
+        return End.TIMED_OUT;
+    }
+
+    /** Its worker takes nothing new: what waits is told at once, what is out goes on. */
+    void refuse() {
+        for (int n = waiting.size(); n > 0; n--) {
+            Errand e = waiting.poll();
+            if (e.mayGo()) { waiting.add(e); } else { workers.soon(c -> e.end(c, End.NOT_SENT, null)); }
+        }
+    }
+
+    /** Its worker is gone for good: links close as they fall idle. */
+    void retire() {
+        retired = true;
+        for (Errand e; (e = waiting.poll()) != null;) {
+            Errand x = e;
+            workers.soon(c -> x.end(c, End.NOT_SENT, null));
+        }
+        sweep(0);
+    }
+
+    /** Closes links that were of no use for so long; true where the pool can be forgotten. */
+    boolean sweep(long idle) {
+        long now = workers.nanos();
+        for (Link l : links) {
+            if (l.out.isEmpty() && (retired || now - l.used >= idle)) { l.bytes.close("idle"); }
+        }
+        return retired && links.isEmpty() && opening == 0;
+    }
+
+    int size() { return links.size() + opening; }
+}
--- /dev/null
+++ b/src/main/java/switchgap/resp/Workers.java
@@ -0,0 +1,164 @@
+package switchgap.resp;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import switchgap.port.End;
+import switchgap.router.Answer;
+import switchgap.router.Core;
+import switchgap.router.Loads;
+import switchgap.router.Order;
+import switchgap.router.Outside;
+import switchgap.router.Run;
+import switchgap.router.Seen;
+import switchgap.wire.ByteLink;
+import switchgap.wire.Dial;
+import switchgap.wire.Net;
+
+/** Executions, orders and probes as RESP commands. Selector threads read and decode; all else runs on the router's loop. */
+public final class Workers implements Outside {
+    /**
+     * Connections and exchanges waiting for one, each a worker; executions that a connection carries; the span of a
+     * connect and of lying idle; whether answers tell of a crowd.
+     */
+    public record Bounds(int links, int waiting, int multiplex, Duration connectWithin, Duration idle, boolean crowds) { }
+
+    private static final int MOST_STRING = 16 << 10; // the longest body
+    final Bounds bounds;
+    private final String[] names;
+    private final Supplier<Duration> clock;
+    private final Consumer<Consumer<Core>> events;
+    private final Set<Pool> pools = new HashSet<>();
+    private final ByteLink.Opener opener;
+    private final Duration probeLimit;
+    private final Duration orderLimit;
+    private long tags;
+
+    /**
+     * {@code names} are those of the workloads, {@code clock} is the router's, {@code events} its loop. Orders and probes
+     * are given up by the core after their limits.
+     */
+    public Workers(Net net, Bounds bounds, String[] names, Duration orderLimit, Duration probeLimit, Supplier<Duration> clock,
+                   Consumer<Consumer<Core>> events) {
+        this.bounds = bounds;
+        this.names = names;
+        this.orderLimit = orderLimit;
+        this.probeLimit = probeLimit;
+        this.clock = clock;
+        this.events = events;
+        this.opener = new ByteLink.Opener(net, new Ear());
+    }
+
+    long nanos() { return clock.get().toNanos(); }
+
+    /** As an event of its own: what the core asks is never answered at once. */
+    void soon(Consumer<Core> event) { events.accept(event); }
+
+    private Pool pool(Seen w) {
+        if (w.links == null) {
+            Pool p = new Pool(this, new InetSocketAddress(w.host, w.port));
+            w.links = p;
+            pools.add(p);
+        }
+        return (Pool) w.links;
+    }
+
+    // ------------------------------------------------------------------ connections
+
+    void dial(Pool p, InetSocketAddress to) {
+        opener.open(to, bounds.connectWithin(), new Dial.Opening<>() {
+            @Override public void open(ByteLink l) {
+                Link k = new Link(l, p, new Reader(MOST_STRING), nanos());
+                l.holder = k;
+                events.accept(c -> p.opened(c, k)); // which looks whether it has closed since
+            }
+
+            @Override public void failed(String why) { events.accept(p::failed); }
+        });
+    }
+
+    /** On selector threads. */
+    private final class Ear implements ByteLink.Ear {
+        @Override public void opened(ByteLink l) { }
+
+        @Override public void bytes(ByteLink l, ByteBuffer more) {
+            Link k = (Link) l.holder;
+            List<Reply> replies = new ArrayList<>(2);
+            String why = k == null ? "it spoke before it was asked" : null;
+            try {
+                if (k != null) { k.reader.take(more, parts -> replies.add(Reply.of(parts))); }
+            } catch (Reader.Unreadable x) {
+                why = x.getMessage();
+            }
+            if (!replies.isEmpty()) { events.accept(c -> replies.forEach(r -> k.pool.answered(c, k, r))); }
+            if (why != null) { l.close(why); } // unreadable once, it is of no use to anything out on it
+        }
+
+        @Override public void closed(ByteLink l, String why) {
+            if (l.holder instanceof Link k) { events.accept(c -> k.pool.closed(c, k)); }
+        }
+    }
+
+    /** Closes idle links and forgets pools of workers that are gone; called now and then, on the loop. */
+    public void sweep() { pools.removeIf(p -> p.sweep(bounds.idle().toNanos())); }
+
+    /** Connections to workers, with those under way. */
+    public int connections() { return pools.stream().mapToInt(Pool::size).sum(); }
+
+    // ------------------------------------------------------------------ what the core asks
+
+    @Override public void send(Run run, Duration allow) {
+        String fields = "profile=" + names[run.call.workload] + ",thing=" + run.call.function + ",max=" + Math.max(1, allow.toMillis());
+        Errand e = new Errand(run.worker, run.call.id, run.call, false, Command.of(run.call.body, "DO", run.call.id, fields),
+            nanos() + allow.toNanos(), (c, end, r) -> c.executionEnded(run, end, r == null ? Loads.UNTOLD : r.loads(bounds.crowds()),
+                end == End.FINISHED ? Answer.finished(0, Map.of(), r.body()) : null));
+        run.exchange = e;
+        pool(run.worker).ask(e);
+    }
+
+    @Override public End abandon(Run run) {
+        return run.exchange instanceof Errand e ? pool(run.worker).abandon(e) : End.TIMED_OUT;
+    }
+
+    @Override public void abandon(Order order) {
+        if (order.exchange instanceof Errand e) { pool(e.worker).abandon(e); }
+    }
+
+    private void ask(Seen worker, Order order, String tag, boolean harmless, Duration limit, Errand.Ended ended, String... words) {
+        Errand e = new Errand(worker, tag, null, harmless, Command.of(null, words), nanos() + limit.toNanos(), ended);
+        order.exchange = e;
+        pool(worker).ask(e);
+    }
+
+    private String tag() { return "t" + Long.toString(++tags, 36); } // no id of a call: those are 16 hex digits
+
+    @Override public void hold(Seen worker, String function, int copies, Order order) {
+        String tag = tag();
+        ask(worker, order, tag, copies == 0, orderLimit, (c, end, r) -> c.orderEnded(order, end, r == null ? 0 : r.count()),
+            "PIN", tag, "thing=" + function + ",count=" + copies);
+    }
+
+    @Override public void drop(Seen worker, String function, Order order) {
+        ask(worker, order, null, true, orderLimit, (c, end, r) -> c.dropEnded(order), "UNPIN", function);
+    }
+
+    @Override public void probe(Seen worker, Order order) {
+        String tag = tag();
+        ask(worker, order, tag, true, probeLimit, (c, end, r) -> c.probed(order, end, r == null ? Loads.UNTOLD : r.loads(false)),
+            "METER", tag);
+    }
+
+    @Override public void refuses(Seen worker, boolean forGood) {
+        if (!(worker.links instanceof Pool p)) { return; }
+        if (forGood) { p.retire(); } else { p.refuse(); }
+    }
+
+    @Override public void list() { } // the control feed tells by itself
+}
--- a/src/main/java/switchgap/router/Call.java
+++ b/src/main/java/switchgap/router/Call.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import switchgap.level.Rung;
 
@@ -56,6 +57,11 @@
         this.asker = asker;
     }
 
+    /** Its executions so far, to be read only. */
+    public List<Run> runs() {
+        return Collections.unmodifiableList(runs);
+    }
+
     public State state() {
         return state;
     }
--- a/src/main/java/switchgap/simhost/Instance.java
+++ b/src/main/java/switchgap/simhost/Instance.java
@@ -13,6 +13,7 @@
 import switchgap.port.Incoming;
 import switchgap.port.Standing;
 import switchgap.state.Ids;
+import switchgap.stated.StatedTerms;
 
 /** One router: its events decoded into the module's calls, the module's decisions encoded as records. */
 final class Instance implements Incoming, Decisions {
@@ -40,7 +41,7 @@
         this.born = clock;
         this.reply = reply;
         try {
-            StatedTerms terms = new StatedTerms(info);
+            StatedTerms terms = StatedTerms.of(info);
             crowds = terms.tellsCrowd();
             busyAt = terms.field("load_share");
             heldAt = terms.field("concurrent");
--- a/src/main/java/switchgap/simhost/StatedTerms.java
+++ b/src/main/java/switchgap/stated/StatedTerms.java
@@ -1,4 +1,4 @@
-package switchgap.simhost;
+package switchgap.stated;
 
 import java.time.Duration;
 import java.util.Arrays;
@@ -8,17 +8,25 @@
 import switchgap.port.Repeat;
 import switchgap.port.Terms;
 
-/** The wire's path=value lines, read as terms; unknown lines are ignored, a needed one must be there. */
-final class StatedTerms implements Terms {
-    private final Map<String, String> lines = new HashMap<>();
+/** What a router is told at its start, path by path, read as terms; unknown paths are ignored, a needed one must be there. */
+public final class StatedTerms implements Terms {
+    private final Map<String, String> lines;
 
-    StatedTerms(String info) {
+    /** Of values by path: lists of plain values joined by commas, lists of objects as {@code .count}, {@code .0} and so on. */
+    public StatedTerms(Map<String, String> lines) {
+        this.lines = lines;
+    }
+
+    /** Of the simulator's path=value lines. */
+    public static StatedTerms of(String info) {
+        Map<String, String> lines = new HashMap<>();
         for (String line : info.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
                 lines.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
             }
         }
+        return new StatedTerms(lines);
     }
 
     private String text(String path) {
@@ -70,7 +78,7 @@
     }
 
     /** The place of a load report's field, or -1. */
-    int field(String word) {
+    public int field(String word) {
         String all = lines.get("Telemetry.Fields");
         String[] words = all == null ? new String[0] : all.split(",");
         for (int i = 0; i < words.length; i++) {
@@ -81,10 +89,40 @@
         return -1;
     }
 
-    boolean tellsCrowd() {
+    public boolean tellsCrowd() {
         return lines.getOrDefault("Extra.SaysCompany", "false").equals("true");
     }
 
+    /** The place of a name among {@code path.0.Name}, {@code path.1.Name} ..., for workloads (Lanes) and customers (Tenants). */
+    public Map<String, Integer> names(String path) {
+        Map<String, Integer> at = new HashMap<>();
+        int count = lines.containsKey(path + ".count") ? whole(path + ".count") : 0;
+        for (int i = 0; i < count; i++) { at.put(text(path + "." + i + ".Name"), i); }
+        return at;
+    }
+
+    /** The place of a name in a list of plain values: zones, kinds of worker. */
+    public Map<String, Integer> places(String path) {
+        Map<String, Integer> at = new HashMap<>();
+        for (String word : text(path).split(",")) { at.put(word, at.size()); }
+        return at;
+    }
+
+    /** How long an order to load may go unanswered. */
+    public Duration orderLimit() { return span("Extra.LoadWaitUs"); }
+
+    /** How long opening a connection to a worker may take. */
+    public Duration connectWithin() { return span("Limits.DialTimeoutUs"); }
+
+    /** After so long workers close a connection that lies idle. */
+    public Duration idle() { return span("Limits.ConnIdleUs"); }
+
+    /** Executions that one connection carries at a time. */
+    public int multiplex() { return whole("Limits.Multiplex"); }
+
+    /** Calls that may be held at a time. */
+    public int mostHeld() { return whole("Limits.MaxOpen"); }
+
     @Override public int self() { return whole("Me"); }
 
     @Override public int routers() { return whole("Balancers"); }
--- /dev/null
+++ b/src/main/java/switchgap/thrift/Door.java
@@ -0,0 +1,271 @@
+package switchgap.thrift;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import switchgap.port.Terms;
+import switchgap.router.Answer;
+import switchgap.router.Asker;
+import switchgap.router.Call;
+import switchgap.router.Core;
+import switchgap.wire.ByteLink;
+import switchgap.wire.Frames;
+import switchgap.wire.Net;
+
+/**
+ * Where clients connect. Selector threads read and decode; whatever is known of connections and calls belongs to the
+ * router's loop, where the messages are taken in order. Everything a client can make grow is bounded.
+ */
+public final class Door implements ByteLink.Ear, AutoCloseable {
+    /**
+     * What the door allows: connections at a time, bytes of one connection's unread answers, bytes of all messages that
+     * wait for the loop and of all calls held, calls held, and how long a connection may take for its first message or
+     * for the rest of one.
+     */
+    public record Bounds(int connections, int unread, int bytes, int calls, Duration arrival) { }
+
+    private static final int MOST_FRAME = 32 << 10;
+    /** The protocol says 32, yet usual clients were seen with more than 200 open on a connection; memory is bounded below. */
+    private static final int MOST_OPEN = 1024;
+    private static final int MOST_WAITING = 256; // messages of one connection that the loop has not seen
+    private static final int BACKLOG = 512;
+    private static final int CROWD = 2; // times its connections that a door holds until the loop has cleared up
+
+    private static final class Visit {
+        final ByteLink link;
+        final Frames frames = new Frames(MOST_FRAME);
+        final AtomicInteger waiting = new AtomicInteger();
+        final Map<Integer, Asking> open = new HashMap<>();
+        volatile Duration since; // of the connect, or of the first byte of a message that is not whole; null: of none
+        volatile boolean spoke;
+        Duration heard;
+
+        Visit(ByteLink link, Duration now) {
+            this.link = link;
+            since = now;
+            heard = now;
+        }
+    }
+
+    private record Asking(Call call, Visit visit) { }
+
+    private final Asked.Book book;
+    private final Supplier<Duration> clock;
+    private final Consumer<Consumer<Core>> events;
+    private final Bounds bounds;
+    private final AtomicInteger connected = new AtomicInteger();
+    private final AtomicInteger waitingBytes = new AtomicInteger();
+    private final Set<Visit> visits = new HashSet<>();
+    private final Set<String> ids = new HashSet<>();
+    private int heldBytes;
+    private volatile boolean good;
+    private ByteLink.Door listener;
+
+    /** {@code clock} is the router's, {@code events} its loop. */
+    public Door(Terms terms, Map<String, Integer> workloads, Map<String, Integer> customers, Bounds bounds,
+                Supplier<Duration> clock, Consumer<Consumer<Core>> events) {
+        this.book = new Asked.Book(terms, workloads, customers);
+        this.bounds = bounds;
+        this.clock = clock;
+        this.events = events;
+    }
+
+    public void listen(Net net, String host, int port) throws IOException {
+        listener = ByteLink.listen(net, host, port, BACKLOG, this);
+    }
+
+    public int port() { return listener.port(); }
+
+    /** What a heartbeat is answered from now on. */
+    public void good(boolean good) { this.good = good; }
+
+    /** Takes no further connection. */
+    @Override public void close() { listener.close(); }
+
+    // ------------------------------------------------------------------ on a selector thread
+
+    @Override public void opened(ByteLink l) {
+        Visit v = new Visit(l, clock.get());
+        l.holder = v;
+        if (connected.incrementAndGet() > CROWD * bounds.connections) {
+            l.close("too many connections");
+        } else {
+            events.accept(c -> came(v));
+        }
+    }
+
+    @Override public void bytes(ByteLink l, ByteBuffer more) {
+        Visit v = (Visit) l.holder;
+        Duration now = clock.get();
+        boolean fits = v.frames.take(more, f -> frame(v, f, now));
+        v.since = !v.frames.partial() ? null : v.since == null ? now : v.since;
+        if (!fits) { l.close("a frame's length is out of bounds"); }
+    }
+
+    private void frame(Visit v, byte[] frame, Duration now) {
+        if (!v.link.open()) { return; }
+        v.spoke = true;
+        v.since = null;
+        Message m;
+        try {
+            m = Message.read(frame);
+        } catch (Message.Unreadable x) {
+            if (x.method != null) { v.link.send(Replies.unreadable(x.method, x.number, x.getMessage())); }
+            v.link.close("unreadable message");
+            return;
+        }
+        if (m.type() != Message.CALL && m.type() != Message.ONEWAY) {
+            v.link.close("a reply from a client");
+        } else if (m.method().equals("heartbeat")) {
+            send(v, Replies.heartbeat(m.method(), m.number(), good));
+        } else if (!m.method().equals("submit") && !m.method().equals("revoke")) {
+            send(v, Replies.unknownMethod(m.method(), m.number()));
+        } else if (v.waiting.incrementAndGet() > MOST_WAITING || waitingBytes.addAndGet(frame.length) > bounds.bytes) {
+            v.link.close("more messages than the router keeps up with");
+        } else {
+            events.accept(c -> {
+                v.waiting.decrementAndGet();
+                waitingBytes.addAndGet(-frame.length);
+                message(c, v, m, now);
+            });
+        }
+    }
+
+    private void send(Visit v, byte[] reply) {
+        if (v.link.unsent() > bounds.unread) {
+            v.link.close("reads no answers");
+        } else {
+            v.link.send(reply);
+        }
+    }
+
+    @Override public void closed(ByteLink l, String why) {
+        connected.decrementAndGet();
+        Visit v = (Visit) l.holder;
+        events.accept(c -> left(c, v));
+    }
+
+    // ------------------------------------------------------------------ on the loop
+
+    /** Calls held. */
+    public int held() { return ids.size(); }
+
+    public int connections() { return visits.size(); }
+
+    private void came(Visit v) {
+        visits.add(v);
+        if (!v.link.open()) {
+            visits.remove(v);
+        } else if (visits.size() > bounds.connections) {
+            emptiest().link.close("the place is needed");
+        }
+    }
+
+    /** The connection that would be missed least: one that holds no call, never said a thing, is silent for longest. */
+    private Visit emptiest() {
+        Visit least = null;
+        for (Visit v : visits) {
+            if (v.link.open() && (least == null || emptier(v, least))) { least = v; }
+        }
+        return least;
+    }
+
+    private static boolean emptier(Visit a, Visit b) {
+        if (a.open.isEmpty() != b.open.isEmpty()) { return a.open.isEmpty(); }
+        if (a.spoke != b.spoke) { return !a.spoke; }
+        return a.heard.compareTo(b.heard) < 0;
+    }
+
+    private void left(Core c, Visit v) {
+        visits.remove(v);
+        for (Asking a : List.copyOf(v.open.values())) { gone(c, a); }
+        v.open.clear();
+    }
+
+    private void gone(Core c, Asking a) {
+        over(a.call);
+        c.clientLeft(a.call);
+    }
+
+    private void over(Call call) {
+        ids.remove(call.id);
+        heldBytes -= call.body.length;
+    }
+
+    private void message(Core c, Visit v, Message m, Duration came) {
+        if (!v.link.open()) { return; }
+        v.heard = c.now();
+        if (m.method().equals("revoke")) {
+            Asking a = v.open.remove(m.first());
+            if (a != null) { gone(c, a); }
+            return;
+        }
+        if (v.open.containsKey(m.number()) || v.open.size() >= MOST_OPEN) {
+            v.link.close("two requests under one number, or too many open"); // an answer could be read as the other's
+            return;
+        }
+        Call call;
+        try {
+            call = Asked.read(m, book, came, new Asker() {
+                @Override public void answered(Call x, Answer a) { Door.this.answered(v, m, x, a); }
+
+                @Override public void overdue(Call x) { done(v, m, x); }
+            });
+        } catch (Asked.Unusable x) {
+            unusable(v, m, x.getMessage());
+            return;
+        }
+        if (ids.contains(call.id)) {
+            unusable(v, m, "ref");
+            return;
+        }
+        boolean room = ids.size() < bounds.calls && heldBytes + call.body.length <= bounds.bytes;
+        if (room && c.callCame(call)) {
+            ids.add(call.id);
+            heldBytes += call.body.length;
+            v.open.put(m.number(), new Asking(call, v));
+        } else if (call.limit.compareTo(c.now()) > 0) { // nothing is sent after a limit
+            refuse(v, m, book.terms().tellsComeBack() ? book.terms().mostComeBack() : null);
+        }
+    }
+
+    private void unusable(Visit v, Message m, String field) {
+        send(v, Replies.declared(m.method(), m.number(), 2, Map.of("reason", "unusable " + field)));
+    }
+
+    private void refuse(Visit v, Message m, Duration comeBack) {
+        send(v, Replies.declared(m.method(), m.number(), 1,
+            comeBack == null ? Map.of() : Map.of("cooldown", String.valueOf(Math.max(1, comeBack.toMillis())))));
+    }
+
+    private void done(Visit v, Message m, Call x) {
+        v.open.remove(m.number());
+        over(x);
+    }
+
+    private void answered(Visit v, Message m, Call x, Answer a) {
+        done(v, m, x);
+        switch (a.kind()) {
+            case FINISHED -> send(v, Replies.answer(m.method(), m.number(), a.body(), true));
+            case PUSHED_BACK -> refuse(v, m, a.comeBack());
+            case KILLED -> send(v, Replies.declared(m.method(), m.number(), 2, Map.of()));
+        }
+    }
+
+    /** Ends connections that take too long for a message; called now and then. */
+    public void sweep(Duration now) {
+        for (Visit v : new ArrayList<>(visits)) {
+            Duration since = v.since;
+            if (since != null && now.minus(since).compareTo(bounds.arrival) > 0) { v.link.close("no whole message in time"); }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/switchgap/wire/ByteLink.java
@@ -0,0 +1,149 @@
+package switchgap.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.asyncqueue.WritableMessage;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** A connection that carries bytes as they come; it tells how many it has yet to write. */
+public final class ByteLink {
+    /** Hears of a link; on a selector thread. After closed nothing comes. */
+    public interface Ear {
+        void opened(ByteLink l);
+
+        /** What came, to be read before this returns. */
+        void bytes(ByteLink l, ByteBuffer more);
+
+        void closed(ByteLink l, String why);
+    }
+
+    private final Connection<?> connection;
+    private final Ear ear;
+    private final AtomicBoolean over = new AtomicBoolean();
+    private final AtomicInteger unsent = new AtomicInteger();
+    /** The ear's own. */
+    public volatile Object holder;
+
+    private ByteLink(Connection<?> c, Ear ear) {
+        this.connection = c;
+        this.ear = ear;
+    }
+
+    public boolean open() { return !over.get() && connection.isOpen(); }
+
+    /** Bytes given to send and not written yet. */
+    public int unsent() { return unsent.get(); }
+
+    /** Writes; false, and no byte goes out, where the link is closed. The bytes are the link's from now on. */
+    public boolean send(byte[] bytes) {
+        if (!open()) { return false; }
+        unsent.addAndGet(bytes.length);
+        ((TCPNIOTransport) connection.getTransport()).getAsyncQueueIO().getWriter().write((NIOConnection) connection,
+            Buffers.wrap(connection.getMemoryManager(), bytes),
+            new EmptyCompletionHandler<WriteResult<WritableMessage, SocketAddress>>() {
+                @Override public void completed(WriteResult<WritableMessage, SocketAddress> r) { unsent.addAndGet(-bytes.length); }
+
+                @Override public void failed(Throwable e) { close("a write failed"); }
+            });
+        return true;
+    }
+
+    public void close(String why) {
+        if (over.compareAndSet(false, true)) {
+            connection.closeSilently();
+            ear.closed(this, why);
+        }
+    }
+
+    private static final class Reader extends BaseFilter {
+        private final Attribute<ByteLink> links = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
+            .createAttribute("switchgap.bytes." + System.identityHashCode(this));
+        private final Ear ear;
+
+        Reader(Ear ear) { this.ear = ear; }
+
+        private NextAction begin(FilterChainContext x) {
+            ByteLink l = new ByteLink(x.getConnection(), ear);
+            links.set(x.getConnection(), l);
+            ear.opened(l);
+            return x.getStopAction();
+        }
+
+        @Override public NextAction handleAccept(FilterChainContext x) { return begin(x); }
+
+        @Override public NextAction handleConnect(FilterChainContext x) { return begin(x); }
+
+        @Override public NextAction handleRead(FilterChainContext x) {
+            Buffer b = x.getMessage();
+            ByteLink l = links.get(x.getConnection());
+            if (l != null && !l.over.get()) { ear.bytes(l, b.toByteBuffer()); }
+            b.tryDispose();
+            return x.getStopAction();
+        }
+
+        @Override public NextAction handleClose(FilterChainContext x) {
+            ByteLink l = links.get(x.getConnection());
+            if (l != null) { l.close("the other side closed"); }
+            return x.getStopAction();
+        }
+    }
+
+    private static FilterChain chain(Reader r) {
+        return FilterChainBuilder.stateless().add(new TransportFilter()).add(r).build();
+    }
+
+    /** Listens; port 0 takes any; so many connections may wait to be accepted. */
+    public static Door listen(Net net, String host, int port, int backlog, Ear ear) throws IOException {
+        return new Door(TCPNIOBindingHandler.builder(net.transport).processor(chain(new Reader(ear))).build()
+            .bind(new InetSocketAddress(host, port), backlog));
+    }
+
+    /** A listener. */
+    public static final class Door implements AutoCloseable {
+        private final TCPNIOServerConnection c;
+
+        private Door(TCPNIOServerConnection c) { this.c = c; }
+
+        public int port() { return ((InetSocketAddress) c.getLocalAddress()).getPort(); }
+
+        @Override public void close() { c.closeSilently(); }
+    }
+
+    /** Opens links of one kind, again and again, through one filter chain. */
+    public static final class Opener {
+        private final Reader reader;
+        private final TCPNIOConnectorHandler connector;
+
+        public Opener(Net net, Ear ear) {
+            reader = new Reader(ear);
+            connector = TCPNIOConnectorHandler.builder(net.transport).processor(chain(reader)).build();
+        }
+
+        /** Opens one; exactly one of the two answers comes, within the span. */
+        public void open(InetSocketAddress to, Duration within, Dial.Opening<ByteLink> then) {
+            Dial.dial(connector, to, null, within, then, c -> reader.links.get(c), l -> l.close("opened too late"));
+        }
+    }
+}
--- a/src/main/java/switchgap/wire/HttpDoor.java
+++ b/src/main/java/switchgap/wire/HttpDoor.java
@@ -65,7 +65,7 @@
         keep.setIdleTimeoutInSeconds((int) bounds.idle().toSeconds());
         keep.setMaxRequestsCount(-1);
         HttpServerFilter http = new HttpServerFilter(false, bounds.headerBytes(), "text/plain", keep,
-            net.timers, 100, 100);
+            net.timers(), 100, 100);
         TCPNIOBindingHandler binding = TCPNIOBindingHandler.builder(net.transport)
             .processor(FilterChainBuilder.stateless().add(new TransportFilter()).add(new First()).add(http)
                 .add(new Hall()).build())
--- a/src/main/java/switchgap/wire/HttpLink.java
+++ b/src/main/java/switchgap/wire/HttpLink.java
@@ -4,10 +4,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Context;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -42,11 +40,7 @@
     }
 
     /** How opening a connection ended. */
-    public interface Opening {
-        void open(HttpLink link);
-
-        void failed(String why);
-    }
+    public interface Opening extends Dial.Opening<HttpLink> { }
 
     /** Opens links of one kind through one filter chain. */
     public static final class Opener {
@@ -69,43 +63,11 @@
 
         /** Opens a connection; exactly one of the two answers comes, within the span. */
         public void open(InetSocketAddress to, Duration within, Opening then) {
-            Opening once = once(then);
-            var late = Clock.LATER.schedule(() -> once.failed("no connection within " + within.toMillis() + " ms"),
-                within.toMillis(), TimeUnit.MILLISECONDS);
-            CompletionHandler<Connection> done = new EmptyCompletionHandler<>() {
-                @Override public void completed(Connection c) {
-                    late.cancel(false);
-                    HttpLink link = new HttpLink(c, Opener.this);
-                    links.set(c, link);
-                    once.open(link);
-                }
-
-                @Override public void failed(Throwable t) {
-                    late.cancel(false);
-                    once.failed(String.valueOf(t.getMessage()));
-                }
-
-                @Override public void cancelled() {
-                    late.cancel(false);
-                    once.failed("cancelled");
-                }
-            };
-            connector.connect(to, from, done);
-        }
-
-        private static Opening once(Opening then) {
-            AtomicReference<Opening> left = new AtomicReference<>(then);
-            return new Opening() {
-                @Override public void open(HttpLink link) {
-                    Opening o = left.getAndSet(null);
-                    if (o == null) { link.close(); } else { o.open(link); }
-                }
-
-                @Override public void failed(String why) {
-                    Opening o = left.getAndSet(null);
-                    if (o != null) { o.failed(why); }
-                }
-            };
+            Dial.dial(connector, to, from, within, then, c -> {
+                HttpLink link = new HttpLink(c, Opener.this);
+                links.set(c, link);
+                return link;
+            }, HttpLink::close);
         }
 
         private HttpLink of(FilterChainContext ctx) {
--- a/src/main/java/switchgap/wire/Net.java
+++ b/src/main/java/switchgap/wire/Net.java
@@ -9,7 +9,8 @@
 /** One Grizzly transport with its selector threads and its timers, shared by the doors and links of a program. */
 public final class Net implements AutoCloseable {
     final TCPNIOTransport transport;
-    final DelayedExecutor timers = org.glassfish.grizzly.utils.IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
+    private static final int READ_BYTES = 16 << 10; // at a time; by itself it is as large as the socket's own buffer
+    private DelayedExecutor timers;
 
     public Net(int selectors, String name) throws IOException {
         var pool = org.glassfish.grizzly.threadpool.ThreadPoolConfig.defaultConfig().copy()
@@ -19,13 +20,22 @@
             .setSelectorThreadPoolConfig(pool)
             .setSelectorRunnersCount(selectors)
             .setTcpNoDelay(true).setKeepAlive(false).setReuseAddress(true).setServerConnectionBackLog(4096)
+            .setReadBufferSize(READ_BYTES)
             .build();
         transport.start();
-        timers.start();
     }
 
-    @Override public void close() {
-        timers.destroy();
+    /** The timers of the HTTP doors; their threads are there only where a door needs them. */
+    synchronized DelayedExecutor timers() {
+        if (timers == null) {
+            timers = org.glassfish.grizzly.utils.IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
+            timers.start();
+        }
+        return timers;
+    }
+
+    @Override public synchronized void close() {
+        if (timers != null) { timers.destroy(); }
         try {
             transport.shutdownNow();
         } catch (IOException e) {
--- a/src/test/java/switchgap/LayersTest.java
+++ b/src/test/java/switchgap/LayersTest.java
@@ -24,6 +24,11 @@
             .layer("wire").definedBy("switchgap.wire")
             .layer("terms").definedBy("switchgap.terms")
             .layer("edges").definedBy("switchgap.workers", "switchgap.list", "switchgap.invoke", "switchgap.link")
+            .layer("stated").definedBy("switchgap.stated")
+            .layer("json").definedBy("switchgap.json")
+            .layer("loop").definedBy("switchgap.loop")
+            .layer("platform's edges").definedBy("switchgap.thrift", "switchgap.resp", "switchgap.controlfeed")
+            .layer("platform").definedBy("switchgap.platform")
             .layer("gateway").definedBy("switchgap.gateway")
             .layer("standins").definedBy("switchgap.standin")
             .layer("days").definedBy("switchgap.day", "switchgap.lab")
@@ -34,8 +39,14 @@
             .whereLayer("bench").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("standins").mayOnlyBeAccessedByLayers("days")
             .whereLayer("gateway").mayOnlyBeAccessedByLayers("days", "cli")
+            .whereLayer("platform").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("platform's edges").mayOnlyBeAccessedByLayers("platform")
+            .whereLayer("platform's edges").mayOnlyAccessLayers("module", "core", "wire", "json")
+            .whereLayer("stated").mayOnlyBeAccessedByLayers("platform", "bench")
+            .whereLayer("json").mayOnlyBeAccessedByLayers("platform", "platform's edges")
+            .whereLayer("loop").mayOnlyBeAccessedByLayers("gateway", "platform")
             .whereLayer("edges").mayOnlyBeAccessedByLayers("gateway", "cli")
-            .whereLayer("wire").mayOnlyBeAccessedByLayers("edges", "gateway", "standins", "days", "cli")
+            .whereLayer("wire").mayOnlyBeAccessedByLayers("edges", "platform's edges", "platform", "gateway", "standins", "days", "cli")
             .check(all);
     }
 
