Door: a connection that has just come or whose message waits is not the first to go

At fault: Door.emptier put a connection that never spoke before all others, and one without a taken call first, so with the place taken the next client closed the one that had just connected, or one whose message stood in the loop's queue. Change: idle means no call held and no message on its way to the loop; only a connection that has been mute for a quarter of the span of a message goes before those that are merely silent. Closes with calls held are logged.

--- a/src/main/java/switchgap/platform/Platform.java
+++ b/src/main/java/switchgap/platform/Platform.java
@@ -52,7 +52,7 @@
         workers = made.get();
         int bytes = (int) Math.min(Integer.MAX_VALUE, Runtime.getRuntime().maxMemory() / BYTE_SHARE);
         door = new Door(terms, terms.names("Lanes"), terms.names("Tenants"), new Door.Bounds(Math.max(1, g.sockets() / CLIENT_SHARE), bytes / 4,
-            bytes, Math.min(terms.mostHeld(), MOST_CALLS), ARRIVAL), loop::now, loop::post);
+            bytes, Math.min(terms.mostHeld(), MOST_CALLS), ARRIVAL), loop::now, loop::post, log::line);
         Duration longest = Duration.ZERO;
         for (int w = 0; w < terms.workloads(); w++) {
             longest = longest.compareTo(terms.timeLimit(w)) < 0 ? terms.timeLimit(w) : longest;
--- a/src/main/java/switchgap/thrift/Door.java
+++ b/src/main/java/switchgap/thrift/Door.java
@@ -38,6 +38,7 @@
     private static final int MOST_OPEN = 1024;
     private static final int MOST_WAITING = 256; // messages of one connection that the loop has not seen
     private static final int BACKLOG = 512;
+    private static final int MUTE = 4;   // a message's span, one in so many
     private static final int CROWD = 2; // times its connections that a door holds until the loop has cleared up
 
     private static final class Visit {
@@ -54,6 +55,8 @@
             since = now;
             heard = now;
         }
+
+        boolean idle() { return open.isEmpty() && waiting.get() == 0; }
     }
 
     private record Asking(Call call, Visit visit) { }
@@ -62,6 +65,7 @@
     private final Supplier<Duration> clock;
     private final Consumer<Consumer<Core>> events;
     private final Bounds bounds;
+    private final Consumer<String> log;
     private final AtomicInteger connected = new AtomicInteger();
     private final AtomicInteger waitingBytes = new AtomicInteger();
     private final Set<Visit> visits = new HashSet<>();
@@ -72,7 +76,8 @@
 
     /** {@code clock} is the router's, {@code events} its loop. */
     public Door(Terms terms, Map<String, Integer> workloads, Map<String, Integer> customers, Bounds bounds,
-                Supplier<Duration> clock, Consumer<Consumer<Core>> events) {
+                Supplier<Duration> clock, Consumer<Consumer<Core>> events, Consumer<String> log) {
+        this.log = log;
         this.book = new Asked.Book(terms, workloads, customers);
         this.bounds = bounds;
         this.clock = clock;
@@ -99,7 +104,7 @@
         if (connected.incrementAndGet() > CROWD * bounds.connections) {
             l.close("too many connections");
         } else {
-            events.accept(c -> came(v));
+            events.accept(c -> came(c, v));
         }
     }
 
@@ -151,7 +156,7 @@
     @Override public void closed(ByteLink l, String why) {
         connected.decrementAndGet();
         Visit v = (Visit) l.holder;
-        events.accept(c -> left(c, v));
+        events.accept(c -> left(c, v, why));
     }
 
     // ------------------------------------------------------------------ on the loop
@@ -161,32 +166,38 @@
 
     public int connections() { return visits.size(); }
 
-    private void came(Visit v) {
+    private void came(Core c, Visit v) {
         visits.add(v);
         if (!v.link.open()) {
             visits.remove(v);
         } else if (visits.size() > bounds.connections) {
-            emptiest().link.close("the place is needed");
+            emptiest(c.now()).link.close("the place is needed");
         }
     }
 
-    /** The connection that would be missed least: one that holds no call, never said a thing, is silent for longest. */
-    private Visit emptiest() {
+    /** The connection that would be missed least: no call of it is held or on its way here, and it is mute or silent for longest. */
+    private Visit emptiest(Duration now) {
         Visit least = null;
         for (Visit v : visits) {
-            if (v.link.open() && (least == null || emptier(v, least))) { least = v; }
+            if (v.link.open() && (least == null || emptier(v, least, now))) { least = v; }
         }
         return least;
     }
 
-    private static boolean emptier(Visit a, Visit b) {
-        if (a.open.isEmpty() != b.open.isEmpty()) { return a.open.isEmpty(); }
-        if (a.spoke != b.spoke) { return !a.spoke; }
+    private boolean emptier(Visit a, Visit b, Duration now) {
+        if (a.idle() != b.idle()) { return a.idle(); }
+        if (mute(a, now) != mute(b, now)) { return mute(a, now); }
         return a.heard.compareTo(b.heard) < 0;
     }
 
-    private void left(Core c, Visit v) {
+    /** Never said a thing, though it had the time to: one that has just come is about to. */
+    private boolean mute(Visit v, Duration now) {
+        return !v.spoke && now.minus(v.heard).compareTo(bounds.arrival.dividedBy(MUTE)) > 0;
+    }
+
+    private void left(Core c, Visit v, String why) {
         visits.remove(v);
+        if (!v.open.isEmpty()) { log.accept("a client's connection ended with " + v.open.size() + " calls held: " + why); }
         for (Asking a : List.copyOf(v.open.values())) { gone(c, a); }
         v.open.clear();
     }
