Load reports are read by the words they bear; one copy of a function stays

Seen: on sockets busy and held were NaN in every answer that the module was told of (a log line for each answer that came). Cause: Reply.loads looked for util and inflight, the words of the protocol page; reports bear the settings' words, load_share and concurrent (replies logged as they came). Both are read now.

Ruled out: bytes and threads (an answer is on its way for 0.2 ms), connections (none refused), reports. Cause: Decide let the design's one copy expire, as nothing called began its idle time anew. Change: Decide.stay holds the first copy anew at 0.6 of its keep-alive, for four keep-alives after the last job; not of one-off functions, nor with a ration, a memory price, more routers than places, or half of the memory in use. Tests: codecs against Apache Thrift's and byte by byte, the feed through breaks, the router between scripted peers.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -29,6 +29,8 @@
     private static final double ENOUGH = 4;        // answers that tell of a crowd or of health; more: halved
     private static final double MOST_COPIES = 0.5; // of the ready workers
     private static final double MEMORY = 0.5;      // of the workers' memory: k rises so far
+    private static final double STAYS = 4;         // keep-alives after its last job for which one copy stays
+    private static final double RENEW = 0.6;       // of a keep-alive: a copy idle for so long is held anew
     private static final double STEP_ASIDE = 1;    // jobs more than at the least loaded copy: onward
     private static final double ROOM = 10;         // jobs at a worker, from all routers, unmeasured
     private static final double FURTHER = 4;       // workers past k that are looked at, and k more
@@ -45,7 +47,8 @@
     private final Duration step, soonest; // between looks at what waits; the shortest start target
     private final Workload[] workloads;
     private final double[] fairShare, kindMemory;
-    private final boolean second, crossingPriced, sizesTold, loadsOnMiss, drops, mayCancel, mayOrder, mayAsk;
+    private final boolean second, crossingPriced, sizesTold, loadsOnMiss, drops, stays;
+    private final boolean mayCancel, mayOrder, mayAsk;
     private final Duration comeBack;    // null: no advice
     private final Duration keep, rationSpan, coldSpan, fallSpan;
     private final double rationFree, rationShare, overShare, coldShare, mostValue;
@@ -69,6 +72,7 @@
     private boolean wholeList;
     private int listing, ready, ordersOut;
     private double room, planned;        // memory of all ready workers; what the copies at their targets take
+    private double kept;                 // ... and of functions not called for a keep-alive whose copy stays
     private double ordersMost, ownRate;  // of load orders at a time; jobs a second at an average worker
     private Duration now = Duration.ZERO;
     private Duration nextSecond = Duration.ZERO, nextAsk = Duration.ZERO;
@@ -106,6 +110,7 @@
         kindMemory = t.kindMemory();
         sizesTold = t.sizesTold();
         drops = t.memoryPrice() > 0 && mayOrder;
+        stays = mayOrder && t.memoryPrice() == 0 && t.loadsSpan().isZero() && part == 1;
         rationFree = t.loadsFree();
         rationShare = t.loadsShare();
         rationSpan = t.loadsSpan();
@@ -307,12 +312,17 @@
         if (failing.total() > 64) { failing.halve(); }
         int cap = (int) Math.max(1, Math.ceil(ready * MOST_COPIES));
         planned = 0;
+        kept = 0;
         for (Function f : functions) {
-            planned += less(now.minus(f.used), keep) ? f.target * f.size : 0;
+            boolean lately = less(now.minus(f.used), keep);
+            planned += lately ? f.target * f.size : 0;
+            kept += lately || f.jobs < 2 ? 0 : f.size;
         }
         for (Function f : functions) {
             pace(f, cap);
-            if (f.open == 0 && f.orders == 0 && !less(now.minus(f.used), keep.multipliedBy(2))) {
+            if (stays) { stay(f); }
+            double keeps = stays && f.jobs > 1 ? STAYS : 2;
+            if (f.open == 0 && f.orders == 0 && !less(now.minus(f.used), times(keep, keeps))) {
                 functions.set(f.id, null);
                 out.forgetFunction(f.id);
             }
@@ -351,6 +361,25 @@
         f.pressed = 0;
     }
 
+    /**
+     * The design's one copy stays: the first one's idle time begins anew before it is over, for some keep-alives
+     * after the last job. Only where orders and memory cost little: no ration, no price, few routers, room.
+     */
+    private void stay(Function f) {
+        if (f.jobs < 2 || planned + kept > MEMORY * room) { return; } // of one-off functions no copy stays
+        for (Worker w : order(f)) {
+            if (shunned(w)) { continue; }
+            Copy c = f.at(w);
+            if (belief(f, w) == Belief.STANDS && !c.asked && !less(now.minus(c.used), times(keep, RENEW))) {
+                c.asked = true; // told like a question: what is believed stays until it is answered
+                w.orders++;
+                f.orders++;
+                out.hold(w.id, f.id, 1);
+            }
+            return;
+        }
+    }
+
     private Belief belief(Function f, Worker w) {
         Copy c = f.at(w);
         boolean old = c.belief == Belief.STANDS && !less(now.minus(c.used), keep);
@@ -371,6 +400,7 @@
         f.size = size;
         f.used = now;
         f.came++;
+        f.jobs++;
         f.open++;
         Job j = new Job(job, workloads[workload], f, now, limit, hint);
         boolean over = false;
@@ -474,7 +504,8 @@
         boolean heard = c.asked; // a question's answer: it went out before any order
         c.asked = false;
         c.used = now;
-        if (heard ? c.belief == Belief.UNKNOWN : c.belief == Belief.ORDERED) {
+        boolean lost = standing == 0 && end == End.FULL; // held anew in vain
+        if (heard ? lost || c.belief == Belief.UNKNOWN : c.belief == Belief.ORDERED) {
             c.belief = standing > 0 ? Belief.STANDS : Belief.ABSENT;
         }
         if (heard) { return; }
--- a/src/main/java/switchgap/platform/Platform.java
+++ b/src/main/java/switchgap/platform/Platform.java
@@ -35,7 +35,6 @@
     private final Door door;
     private final Follow feed;
     private final Duration longest;
-    private volatile int held;
 
     Platform(Given g, Log log) throws IOException {
         this.log = log;
@@ -97,7 +96,6 @@
     }
 
     private void sweep(Core c) {
-        held = door.held();
         door.sweep(c.now());
         workers.sweep();
         c.later(c.now().plus(SWEEP), () -> sweep(c));
@@ -114,15 +112,19 @@
         door.good(false);
         long began = System.nanoTime();
         Thread.sleep(STILL_COME.toMillis());
-        while (held() > 0 && System.nanoTime() - began < longest.plus(STILL_COME).plus(BEYOND).toNanos()) { Thread.sleep(20); }
-        log.line("stopped, " + held() + " calls held");
+        while (held()[0] > 0 && System.nanoTime() - began < longest.plus(STILL_COME).plus(BEYOND).toNanos()) { Thread.sleep(20); }
+        log.line("stopped, " + held()[0] + " calls held");
         close();
     }
 
-    private int held() throws InterruptedException {
+    /** Calls held, connections of clients, connections to workers. */
+    int[] held() throws InterruptedException {
+        int[] held = new int[3];
         CountDownLatch looked = new CountDownLatch(1);
         loop.post(c -> {
-            held = door.held();
+            held[0] = door.held();
+            held[1] = door.connections();
+            held[2] = workers.connections();
             looked.countDown();
         });
         looked.await();
--- a/src/main/java/switchgap/resp/Command.java
+++ b/src/main/java/switchgap/resp/Command.java
@@ -7,10 +7,10 @@
 final class Command {
     private Command() { }
 
-    static byte[] of(String... words) { return of(null, words); }
+    static byte[] of(String... words) { return with(null, words); }
 
     /** The words, and last the body where there is one. */
-    static byte[] of(byte[] body, String... words) {
+    static byte[] with(byte[] body, String... words) {
         StringBuilder s = new StringBuilder(96).append('*').append(words.length + (body == null ? 0 : 1)).append("\r\n");
         for (String w : words) { s.append('$').append(w.length()).append("\r\n").append(w).append("\r\n"); }
         if (body == null) { return s.toString().getBytes(StandardCharsets.ISO_8859_1); }
--- a/src/main/java/switchgap/resp/Reply.java
+++ b/src/main/java/switchgap/resp/Reply.java
@@ -55,9 +55,9 @@
             if (colon < 0) { continue; }
             double v = number(f.substring(colon + 1), Double.NaN);
             switch (f.substring(0, colon)) {
-                case "util" -> busy = v;
-                case "inflight" -> held = v;
-                case "queue" -> queued = v;
+                case "load_share", "util" -> busy = v;   // the settings' words, which reports bear, and the protocol page's
+                case "concurrent", "inflight" -> held = v;
+                case "depth", "queue" -> queued = v;
                 default -> { } // no figure that the module hears of
             }
         }
--- a/src/main/java/switchgap/resp/Workers.java
+++ b/src/main/java/switchgap/resp/Workers.java
@@ -116,7 +116,7 @@
 
     @Override public void send(Run run, Duration allow) {
         String fields = "profile=" + names[run.call.workload] + ",thing=" + run.call.function + ",max=" + Math.max(1, allow.toMillis());
-        Errand e = new Errand(run.worker, run.call.id, run.call, false, Command.of(run.call.body, "DO", run.call.id, fields),
+        Errand e = new Errand(run.worker, run.call.id, run.call, false, Command.with(run.call.body, "DO", run.call.id, fields),
             nanos() + allow.toNanos(), (c, end, r) -> c.executionEnded(run, end, r == null ? Loads.UNTOLD : r.loads(bounds.crowds()),
                 end == End.FINISHED ? Answer.finished(0, Map.of(), r.body()) : null));
         run.exchange = e;
@@ -132,7 +132,7 @@
     }
 
     private void ask(Seen worker, Order order, String tag, boolean harmless, Duration limit, Errand.Ended ended, String... words) {
-        Errand e = new Errand(worker, tag, null, harmless, Command.of(null, words), nanos() + limit.toNanos(), ended);
+        Errand e = new Errand(worker, tag, null, harmless, Command.of(words), nanos() + limit.toNanos(), ended);
         order.exchange = e;
         pool(worker).ask(e);
     }
--- a/src/main/java/switchgap/state/Function.java
+++ b/src/main/java/switchgap/state/Function.java
@@ -15,6 +15,7 @@
     public int open;
     public int orders;
     public int came;
+    public int jobs;
     public int pressed;
     public Duration used;
     public Duration busySince;
--- a/src/main/java/switchgap/thrift/Asked.java
+++ b/src/main/java/switchgap/thrift/Asked.java
@@ -31,9 +31,9 @@
         byte[] body = m.body() == null ? NOTHING : m.body();
         if (body.length > MOST_BODY) { throw new Unusable("bytes"); }
         String id = mark(m, "ref");
-        Integer workload = book.workloads.get(m.fields().get("service"));
+        Integer workload = book.workloads.get(m.fields().getOrDefault("service", ""));
         if (workload == null) { throw new Unusable("service"); }
-        Integer customer = book.customers.isEmpty() ? Integer.valueOf(-1) : book.customers.get(m.fields().get("project"));
+        Integer customer = book.customers.isEmpty() ? Integer.valueOf(-1) : book.customers.get(m.fields().getOrDefault("project", ""));
         if (customer == null) { throw new Unusable("project"); }
         String function = mark(m, "lookup");
         // Nobody may wait for longer than twice what the operators state: such a call would only be kept.
--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -374,6 +374,44 @@
     }
 
     /** The client has the execution now: no limit, no pushback, no further execution, until its end comes. */
+    /** Two jobs, then none: the home copy is held anew before its keep-alive of 10 s is over, for four of them. */
+    private static Bench calledTwice(Bench.Said said) {
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4)).at(10, f -> b.job(f, 0, 0));
+        int home = home(b);
+        b.onHold = (w, f) -> assertThat(w).isEqualTo(home);
+        b.at(60, f -> b.end(f, 0, 0, home, End.FINISHED, 50, 0)).at(100, f -> b.job(f, 1, 0));
+        b.at(150, f -> b.end(f, 1, 0, home, End.FINISHED, 50, 0));
+        for (int t = 1000; t <= 60_000; t += 1000) {
+            long held = b.count("hold");
+            b.at(t, f -> f.timer(0));
+            if (b.count("hold") > held) { b.at(t + 20, f -> f.orderEnded(home, 0, End.FINISHED, ms(20), 1)); }
+        }
+        return b;
+    }
+
+    @Test void oneCopyStaysForSomeKeepAlives() {
+        Bench b = calledTwice(new Bench.Said());
+        assertThat(b.count("hold")).isEqualTo(5); // each 7 s, within 40 s of the last job
+        assertThat(b.count("forget function")).isEqualTo(1);
+    }
+
+    @Test void noCopyStaysWhereOrdersAreRationedOrMemoryIsPricedOrRoutersAreManyOrAfterOneJob() {
+        Bench.Said rationed = new Bench.Said();
+        rationed.span = ms(5000);
+        rationed.free = 3;
+        Bench.Said priced = new Bench.Said();
+        priced.price = 0.05;
+        Bench.Said many = new Bench.Said();
+        many.routers = 40;
+        for (Bench.Said said : List.of(rationed, priced, many)) { assertThat(calledTwice(said).count("hold")).isZero(); }
+        Bench once = new Bench(new Bench.Said());
+        once.at(0, f -> list(f, 4)).at(10, f -> once.job(f, 0, 0));
+        int home = home(once);
+        once.at(60, f -> once.end(f, 0, 0, home, End.FINISHED, 50, 0)).until(30_000);
+        assertThat(once.count("hold")).isZero();
+    }
+
     @Test void aStreamThatBeganIsLeftAloneUntilItsEnd() {
         Bench b = new Bench(new Bench.Said());
         b.at(0, f -> list(f, 3)).at(10, f -> b.job(f, 0, 0)).at(60, f -> f.streamBegan(0, 0)).until(5000);
--- /dev/null
+++ b/src/test/java/switchgap/controlfeed/FollowTest.java
@@ -0,0 +1,110 @@
+package switchgap.controlfeed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import switchgap.platform.Feed;
+import switchgap.port.Standing;
+import switchgap.router.Listed;
+import switchgap.wire.HttpLink;
+import switchgap.wire.Net;
+
+/** The control feed through all that may befall it. */
+class FollowTest {
+    private static final Event.Book BOOK = new Event.Book(Map.of("east", 0), Map.of("std", 0), 1000);
+
+    private static String event(long n) { return Feed.event(n, false, Feed.worker("w" + n, "127.0.0.1:7", "SERVING", 0)); }
+
+    @Test void splitAnywhereEventsReadTheSame() {
+        byte[] stream = ": hello\r\nid: 4\r\ndata: a\r\ndata: b\r\n\r\nid:5\ndata:c\n\ndata: cut off".getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i <= stream.length; i++) {
+            Sse sse = new Sse(100);
+            List<String> got = new ArrayList<>();
+            assertThat(sse.take(java.util.Arrays.copyOf(stream, i), (id, d) -> got.add(id + "=" + d))).isTrue();
+            assertThat(sse.take(java.util.Arrays.copyOfRange(stream, i, stream.length), (id, d) -> got.add(id + "=" + d))).isTrue();
+            assertThat(got).as("split at %d", i).containsExactly("4=a\nb", "5=c");
+        }
+        assertThat(new Sse(10).take("data: more than ten".getBytes(StandardCharsets.UTF_8), (id, d) -> { })).isFalse();
+    }
+
+    @Test void aLineBecomesAWorker() throws Exception {
+        Event e = Event.read(Feed.event(41, true, Feed.worker("s-1", "10.1.0.9:10080", "SERVING", 1500)), BOOK);
+        assertThat(e.number()).isEqualTo(41);
+        assertThat(e.whole()).isTrue();
+        assertThat(e.workers()).containsExactly(new Listed("s-1", "10.1.0.9", 10080, Standing.READY, 0, 2, 0, 4, Duration.ofMillis(500)));
+        assertThat(Event.read("{\"n\":5,\"news\":{}}", BOOK).workers()).isNull();
+    }
+
+    @ParameterizedTest @ValueSource(strings = {"{", "[]", "{}", "{\"n\":1,\"members\":{}}", "{\"n\":1,\"members\":{\"targets\":[3]}}",
+        "{\"n\":1,\"members\":{\"targets\":[{\"uid\":\"a\",\"state\":\"ODD\"}]}}", "{\"n\":1} more",
+        "{\"n\":1,\"members\":{\"targets\":[{\"uid\":\"a\",\"endpoint\":\"nowhere\",\"state\":\"SERVING\"}]}}"})
+    void nonsenseIsRefused(String text) {
+        assertThatThrownBy(() -> Event.read(text, BOOK)).isInstanceOf(IOException.class);
+    }
+
+    private static void until(java.util.function.BooleanSupplier so) throws InterruptedException {
+        for (int i = 0; i < 600 && !so.getAsBoolean(); i++) { Thread.sleep(10); }
+        assertThat(so.getAsBoolean()).isTrue();
+    }
+
+    @Test void eachNumberOnceAndInOrderThroughBreaksRepeatsAndGaps() throws Exception {
+        List<Long> got = new CopyOnWriteArrayList<>();
+        Feed.Manner manner = (n, last, out) -> {
+            if (n == 0) { // cut in the middle of an event
+                Feed.say(out, event(last + 1));
+                out.write(("data: " + event(last + 2).substring(0, 20)).getBytes(StandardCharsets.UTF_8));
+                return false;
+            }
+            if (n == 1) { // twice, and then one that is missing before it
+                Feed.say(out, event(last));
+                Feed.say(out, event(last + 1));
+                Feed.say(out, event(last + 1));
+                Feed.say(out, event(last + 3));
+                return true;
+            }
+            if (n == 2) { Feed.say(out, "{\"n\":\"nonsense\"}"); }
+            for (long e = last + 1; n > 2 && e <= 6; e++) { Feed.say(out, event(e)); }
+            return n > 2;
+        };
+        try (Feed feed = new Feed(manner); Net net = new Net(1, "follow");
+             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), feed.at(), 1, BOOK, e -> got.add(e.number()), w -> { })) {
+            f.follow(feed.at());
+            until(() -> got.size() >= 5);
+            assertThat(got).containsExactly(2L, 3L, 4L, 5L, 6L);
+            assertThat(feed.asked).startsWith(1L, 2L, 3L, 3L);
+        }
+    }
+
+    @Test void aSilentFeedIsAskedAnewAndAnotherAddressFollowedFromTheLastNumber() throws Exception {
+        List<Long> got = new CopyOnWriteArrayList<>();
+        Feed.Manner tells = (n, last, out) -> {
+            if (n == 1) { Feed.say(out, event(last + 1)); }
+            return true; // and then says nothing
+        };
+        Feed.Manner later = (n, last, out) -> {
+            Feed.say(out, event(last + 1));
+            return true;
+        };
+        try (Feed first = new Feed(tells); Feed second = new Feed(later); Net net = new Net(1, "follow");
+             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), first.at(), 1, BOOK, e -> got.add(e.number()), w -> { })) {
+            f.follow(first.at());
+            until(() -> got.size() == 1); // on the second connection, as the first was silent
+            assertThat(first.asked).containsExactly(1L, 1L);
+            f.follow(second.at());
+            until(() -> got.size() == 2);
+            assertThat(second.asked).containsExactly(2L);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/switchgap/platform/Client.java
@@ -0,0 +1,114 @@
+package switchgap.platform;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import org.apache.thrift.protocol.TBinaryProtocol;
+import org.apache.thrift.protocol.TField;
+import org.apache.thrift.protocol.TMap;
+import org.apache.thrift.protocol.TMessage;
+import org.apache.thrift.protocol.TType;
+import org.apache.thrift.transport.TMemoryBuffer;
+
+/** A client on a plain socket, with Apache Thrift's codec. */
+final class Client implements AutoCloseable {
+    /** What came: the message's type and number; of a reply the result's field (0 Answer, 1 Full, 2 Error), fields and body. */
+    record Reply(int type, int number, int field, Map<String, String> fields, byte[] body, boolean good) { }
+
+    final Socket socket;
+    private final DataInputStream in;
+    private final OutputStream out;
+
+    Client(int port) throws IOException {
+        socket = new Socket("127.0.0.1", port);
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(5000);
+        in = new DataInputStream(socket.getInputStream());
+        out = socket.getOutputStream();
+    }
+
+    static Map<String, String> fields(String service, String ref, long allow, String function) {
+        return new HashMap<>(Map.of("service", service, "ref", ref, "allow", String.valueOf(allow), "project", "shop", "lookup", function,
+            "extras", "memory_mb:100;lanes:2"));
+    }
+
+    static byte[] framed(byte[] frame) { return ByteBuffer.allocate(4 + frame.length).putInt(frame.length).put(frame).array(); }
+
+    static byte[] submit(int number, Map<String, String> fields, byte[] body) throws Exception {
+        TMemoryBuffer m = new TMemoryBuffer(256);
+        TBinaryProtocol p = new TBinaryProtocol(m);
+        p.writeMessageBegin(new TMessage("submit", (byte) 1, number));
+        p.writeFieldBegin(new TField("fields", TType.MAP, (short) 1));
+        p.writeMapBegin(new TMap(TType.STRING, TType.STRING, fields.size()));
+        for (Map.Entry<String, String> e : fields.entrySet()) {
+            p.writeString(e.getKey());
+            p.writeString(e.getValue());
+        }
+        p.writeFieldBegin(new TField("body", TType.STRING, (short) 2));
+        p.writeBinary(ByteBuffer.wrap(body));
+        p.writeFieldStop();
+        return framed(java.util.Arrays.copyOf(m.getArray(), m.length()));
+    }
+
+    private static byte[] one(String method, int type, int number, byte kind, int value) throws Exception {
+        TMemoryBuffer m = new TMemoryBuffer(64);
+        TBinaryProtocol p = new TBinaryProtocol(m);
+        p.writeMessageBegin(new TMessage(method, (byte) type, number));
+        p.writeFieldBegin(new TField("x", kind, (short) 1));
+        if (kind == TType.BOOL) { p.writeBool(value != 0); } else { p.writeI32(value); }
+        p.writeFieldStop();
+        return framed(java.util.Arrays.copyOf(m.getArray(), m.length()));
+    }
+
+    void raw(byte[] bytes) throws IOException {
+        out.write(bytes);
+        out.flush();
+    }
+
+    void ask(int number, Map<String, String> fields, String body) throws Exception { raw(submit(number, fields, body.getBytes())); }
+
+    void revoke(int number, int which) throws Exception { raw(one("revoke", 4, number, TType.I32, which)); }
+
+    void heartbeat(int number) throws Exception { raw(one("heartbeat", 1, number, TType.BOOL, 1)); }
+
+    void nonsense(int number) throws Exception { raw(one("nonsense", 1, number, TType.BOOL, 1)); }
+
+    /** The next reply, or null where the router closed. */
+    Reply reply() throws Exception {
+        byte[] frame;
+        try {
+            frame = new byte[in.readInt()];
+            in.readFully(frame);
+        } catch (java.io.EOFException | java.net.SocketException x) {
+            return null;
+        }
+        TMemoryBuffer m = new TMemoryBuffer(frame.length);
+        m.write(frame);
+        TBinaryProtocol p = new TBinaryProtocol(m, true, true);
+        TMessage head = p.readMessageBegin();
+        if (head.type == 3) { return new Reply(3, head.seqid, -1, Map.of(), new byte[0], false); }
+        int field = p.readFieldBegin().id;
+        Map<String, String> fields = new HashMap<>();
+        byte[] body = new byte[0];
+        boolean good = false;
+        for (TField f = p.readFieldBegin(); f.type != TType.STOP; f = p.readFieldBegin()) {
+            if (f.type == TType.STRING) {
+                ByteBuffer b = p.readBinary();
+                body = new byte[b.remaining()];
+                b.get(body);
+            } else if (f.type == TType.BOOL) {
+                good = p.readBool();
+            } else {
+                int n = p.readMapBegin().size;
+                for (int i = 0; i < n; i++) { fields.put(p.readString(), p.readString()); }
+            }
+        }
+        return new Reply(head.type, head.seqid, field, fields, body, good);
+    }
+
+    @Override public void close() throws IOException { socket.close(); }
+}
--- /dev/null
+++ b/src/test/java/switchgap/platform/PlatformTest.java
@@ -0,0 +1,357 @@
+package switchgap.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import switchgap.wire.Net;
+
+/** A router on the platform between scripted clients, workers and a feed; what is judged is what these saw. */
+class PlatformTest {
+    private static final String F = "00000000000000f1";
+    @TempDir Path dir;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Feed feed;
+    private Platform platform;
+    private int ids;
+
+    @BeforeEach void feed() throws Exception {
+        feed = new Feed((n, last, out) -> true);
+        open.add(feed);
+    }
+
+    @AfterEach void close() throws Exception {
+        for (AutoCloseable c : open) { c.close(); }
+    }
+
+    private String id() { return String.format("%016x", ++ids); }
+
+    private Map<String, String> environment(String config) throws IOException {
+        Path file = Files.writeString(dir.resolve("config.json"), config);
+        return Map.of("NODE_NAME", "n1", "NODE_LISTEN", "127.0.0.1:0", "NODE_CONFIG", file.toString());
+    }
+
+    private String config(int sockets, Peer... peers) {
+        List<String> workers = new ArrayList<>();
+        for (int i = 0; i < peers.length; i++) { workers.add(Feed.worker("w" + i, peers[i].at(), "SERVING", 0)); }
+        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":" + sockets
+            + "},\"feed\":\"127.0.0.1:" + feed.at().getPort() + "\",\"known\":{\"n\":1,\"events\":[" + Feed.event(1, true, workers.toArray(new String[0]))
+            + "]},\"settings\":" + TestTerms.SETTINGS + "}";
+    }
+
+    private Platform serve(int sockets, Peer... peers) throws Exception {
+        open.addAll(List.of(peers));
+        platform = new Platform(Given.read(environment(config(sockets, peers)), System.currentTimeMillis()), new Log());
+        open.add(0, platform);
+        return platform;
+    }
+
+    private Client client() throws Exception {
+        Client c = new Client(platform.port());
+        open.add(c);
+        return c;
+    }
+
+    private static void until(java.util.function.BooleanSupplier so) throws InterruptedException {
+        for (int i = 0; i < 500 && !so.getAsBoolean(); i++) { Thread.sleep(10); }
+        assertThat(so.getAsBoolean()).isTrue();
+    }
+
+    private static String text(Client.Reply r) { return new String(r.body(), StandardCharsets.ISO_8859_1); }
+
+    @Test void servesInAnyOrderAndPassesOnWhatIsTheirs() throws Exception {
+        Peer w = new Peer((a, out) -> {
+            if (!a.word().equals("DO") || !a.words().get(3).equals("slow")) { return Peer.well(a, out); }
+            new Thread(() -> {
+                try {
+                    Thread.sleep(150);
+                    Peer.well(a, out);
+                } catch (IOException | InterruptedException x) {
+                    return; // the test sees that no answer came
+                }
+            }).start();
+            return true;
+        });
+        serve(256, w);
+        Client c = client();
+        c.heartbeat(1);
+        assertThat(c.reply().good()).isTrue();
+        String first = id();
+        String second = id();
+        c.ask(2, Client.fields("again", first, 900, F), "warm");
+        assertThat(text(c.reply())).isEqualTo(first + ":warm");
+        c.ask(3, Client.fields("once", second, 900, F), "slow");
+        String third = id();
+        c.ask(4, Client.fields("again", third, 900, F), "\r\n$3\r\n");
+        assertThat(c.reply()).satisfies(r -> {
+            assertThat(r.number()).isEqualTo(4);
+            assertThat(text(r)).isEqualTo(third + ":\r\n$3\r\n");
+        });
+        assertThat(c.reply()).satisfies(r -> assertThat(text(r)).isEqualTo(second + ":slow"));
+        assertThat(w.came("DO").get(1).words().get(2)).startsWith("profile=once,thing=" + F + ",max=");
+        c.nonsense(5);
+        assertThat(c.reply().type()).isEqualTo(3);
+    }
+
+    @Test void aMissOrdersACopyAndNeverMoreThanOneAnswerComes() throws Exception {
+        java.util.concurrent.atomic.AtomicBoolean stands = new java.util.concurrent.atomic.AtomicBoolean();
+        Peer w = new Peer((a, out) -> {
+            if (a.word().equals("PIN")) { stands.set(true); }
+            if (a.word().equals("DO") && !stands.get()) {
+                Peer.say(out, a.id(), "absent", "-", "");
+                return true;
+            }
+            Peer.well(a, out);
+            if (a.word().equals("DO")) { // a second copy, and one of nobody's
+                Peer.well(a, out);
+                Peer.say(out, "ffffffffffffffff", "data", "-", "ahead");
+            }
+            return true;
+        });
+        serve(256, w);
+        Client c = client();
+        for (int n = 1; n <= 4; n++) {
+            String id = id();
+            c.ask(n, Client.fields("again", id, 900, F), "x" + n);
+            assertThat(text(c.reply())).isEqualTo(id + ":x" + n);
+        }
+        assertThat(w.came("PIN").get(0).words().get(2)).isEqualTo("thing=" + F + ",count=1");
+        c.heartbeat(9);
+        assertThat(c.reply().number()).isEqualTo(9); // and nothing stands before it
+    }
+
+    /** Rule 2: what may have run is not run again, what a broken, spoilt or silent connection leaves open neither. */
+    @ParameterizedTest @ValueSource(strings = {"failed", "close", "noise", "silent", "huge"})
+    void aRunOnceJobThatMayHaveRunIsFailedAndNeverSentAgain(String what) throws Exception {
+        Peer.Manner bad = (a, out) -> {
+            if (!a.word().equals("DO")) { return Peer.well(a, out); }
+            switch (what) {
+                case "failed" -> Peer.say(out, a.id(), "failed", "-", "");
+                case "noise" -> out.write("?!%\r\n".getBytes(StandardCharsets.US_ASCII));
+                case "huge" -> out.write("*4\r\n$16\r\n".getBytes(StandardCharsets.US_ASCII));
+                default -> { }
+            }
+            if (what.equals("huge")) { out.write((a.id() + "\r\n$4\r\ndata\r\n$1\r\n-\r\n$3000000000\r\n").getBytes(StandardCharsets.US_ASCII)); }
+            return !what.equals("close");
+        };
+        Peer one = new Peer(bad);
+        Peer two = new Peer(bad);
+        serve(256, one, two);
+        Client c = client();
+        c.ask(1, Client.fields("once", id(), 500, F), "x");
+        assertThat(c.reply().field()).isEqualTo(2);
+        Thread.sleep(100);
+        assertThat(one.came("DO").size() + two.came("DO").size()).isEqualTo(1);
+    }
+
+    /** An execution of the same job never shares a connection with an earlier one: both bear its id. */
+    @Test void aRepeatGoesOutOnAnotherConnection() throws Exception {
+        Peer w = new Peer((a, out) -> {
+            if (a.word().equals("DO") && a.words().get(3).equals("twice")) {
+                Peer.say(out, a.id(), "absent", "-", "");
+                return true;
+            }
+            return Peer.well(a, out);
+        });
+        serve(256, w);
+        Client c = client();
+        c.ask(1, Client.fields("again", id(), 900, F), "twice");
+        assertThat(c.reply().field()).isEqualTo(1);
+        List<Peer.Asked> came = w.came("DO");
+        assertThat(came).hasSizeGreaterThan(1);
+        assertThat(came.stream().map(Peer.Asked::connection).distinct().count()).isEqualTo(came.size());
+    }
+
+    @Test void whatIsNoUsableRequestIsAnErrorAndHarmsNoOpenOne() throws Exception {
+        Peer w = new Peer((a, out) -> {
+            if (a.word().equals("DO")) { Thread.sleep(200); }
+            return Peer.well(a, out);
+        });
+        serve(256, w);
+        Client c = client();
+        Client bad = client();
+        String id = id();
+        c.ask(1, Client.fields("again", id, 900, F), "good");
+        until(() -> !w.came("DO").isEmpty());
+        bad.ask(1, Client.fields("again", id, 900, F), "another body under an open id");
+        assertThat(bad.reply().field()).isEqualTo(2);
+        bad.ask(2, Client.fields("nothing", id(), 900, F), "x");
+        assertThat(bad.reply().field()).isEqualTo(2);
+        bad.ask(3, Client.fields("again", id(), 900, F), "x".repeat(16385));
+        assertThat(bad.reply().field()).isEqualTo(2);
+        assertThat(text(c.reply())).isEqualTo(id + ":good");
+        assertThat(w.came("DO")).hasSize(1);
+    }
+
+    @Test void badConnectionsEndAndUsualOnesLive() throws Exception {
+        serve(256, new Peer(Peer::well));
+        Client usual = client();
+        usual.heartbeat(1);
+        usual.reply();
+        for (int length : new int[] {-1, 0, 60_000_000, 32769}) {
+            Client c = client();
+            c.raw(ByteBuffer.allocate(8).putInt(length).putInt(7).array());
+            assertThat(c.reply()).as("length %d", length).isNull();
+        }
+        Client twice = client();
+        twice.ask(1, Client.fields("again", id(), 900, "00000000000000f2"), "x");
+        twice.ask(1, Client.fields("again", id(), 900, "00000000000000f2"), "y");
+        Client.Reply r = twice.reply(); // the first one's answer if it came before the second request, then the end
+        assertThat(r == null || r.number() == 1).isTrue();
+        Client unreadable = client();
+        unreadable.raw(Client.framed("no thrift at all".getBytes(StandardCharsets.US_ASCII)));
+        assertThat(unreadable.reply()).isNull();
+        Client silent = client();
+        Client half = client();
+        half.raw(new byte[] {0, 0, 1, 0, 5});
+        long began = System.nanoTime();
+        assertThat(silent.reply()).isNull();
+        assertThat(half.reply()).isNull();
+        assertThat((System.nanoTime() - began) / 1_000_000).isBetween(1000L, 3000L);
+        usual.heartbeat(2);
+        assertThat(usual.reply().good()).isTrue();
+    }
+
+    /** Seen on a day of churn: with its places taken the door closed whoever had just come. */
+    @Test void theLongestSilentConnectionMakesRoomNotTheNewest() throws Exception {
+        serve(30, new Peer(Peer::well)); // ten places
+        List<Client> all = new ArrayList<>();
+        for (int i = 0; i < 25; i++) {
+            Client c = client();
+            all.add(c);
+            c.ask(1, Client.fields("again", id(), 900, F), "x");
+            assertThat(c.reply()).as("client %d", i).isNotNull();
+        }
+        assertThat(all.get(0).reply()).isNull();
+        Client last = all.get(24);
+        last.heartbeat(2);
+        assertThat(last.reply().good()).isTrue();
+    }
+
+    @Test void revokedAndLeftCallsAreUndoneAndOwedNothing() throws Exception {
+        Peer w = new Peer((a, out) -> a.word().equals("DO") || Peer.well(a, out));
+        serve(256, w);
+        Client c = client();
+        Client left = client();
+        String revoked = id();
+        c.ask(1, Client.fields("again", revoked, 900, F), "x");
+        until(() -> w.came("DO").size() == 1);
+        c.revoke(2, 1);
+        until(() -> w.came("UNDO").stream().anyMatch(a -> a.id().equals(revoked)));
+        String gone = id();
+        left.ask(1, Client.fields("again", gone, 900, "00000000000000f3"), "x");
+        until(() -> w.came("DO").size() == 2);
+        left.close();
+        until(() -> w.came("UNDO").stream().anyMatch(a -> a.id().equals(gone)));
+        c.heartbeat(3);
+        assertThat(c.reply().number()).isEqualTo(3);
+    }
+
+    /** Rule 3, and a new worker at the address of one that has gone: nothing goes to it on the old connections. */
+    @Test void nothingNewToADrainingWorkerAndANewIdIsANewWorker() throws Exception {
+        Peer one = new Peer(Peer::well);
+        Peer two = new Peer(Peer::well);
+        serve(256, one, two);
+        until(() -> !feed.asked.isEmpty());
+        Client c = client();
+        for (int n = 1; n <= 20; n++) {
+            c.ask(n, Client.fields("again", id(), 900, String.format("%016x", n)), "x");
+            assertThat(c.reply().field()).isZero();
+        }
+        Peer drained = one.came("DO").isEmpty() ? two : one;
+        feed.say(Feed.event(2, false, Feed.worker(drained == one ? "w0" : "w1", drained.at(), "DRAINING", 0)));
+        Thread.sleep(200);
+        long before = drained.asked.stream().filter(a -> !a.word().equals("METER")).count();
+        int old = drained.asked.stream().mapToInt(Peer.Asked::connection).max().orElseThrow();
+        for (int n = 21; n <= 40; n++) {
+            c.ask(n, Client.fields("again", id(), 900, String.format("%016x", n - 20)), "x");
+            assertThat(c.reply().field()).isZero();
+        }
+        assertThat(drained.asked.stream().filter(a -> !a.word().equals("METER")).count()).isEqualTo(before);
+        feed.say(Feed.event(3, false, Feed.worker(drained == one ? "w0" : "w1", drained.at(), "DELETED", 0), Feed.worker("w9", drained.at(), "SERVING", 0)));
+        Thread.sleep(200);
+        for (int n = 41; n <= 80; n++) {
+            c.ask(n, Client.fields("again", id(), 900, String.format("%016x", n)), "x");
+            assertThat(c.reply().field()).isZero();
+        }
+        assertThat(drained.asked.subList((int) before, drained.asked.size())).isNotEmpty().allMatch(a -> a.connection() > old);
+    }
+
+    @Test void stopsWithEverythingAnswered() throws Exception {
+        Peer w = new Peer((a, out) -> {
+            if (a.word().equals("DO")) { Thread.sleep(300); }
+            return Peer.well(a, out);
+        });
+        Platform p = serve(256, w);
+        Client c = client();
+        c.ask(1, Client.fields("again", id(), 900, F), "before");
+        Thread stop = new Thread(() -> {
+            try {
+                p.stop();
+            } catch (InterruptedException x) {
+                throw new IllegalStateException(x);
+            }
+        });
+        stop.start();
+        Thread.sleep(500);
+        Client late = client();
+        late.heartbeat(1);
+        assertThat(late.reply().good()).isFalse();
+        late.ask(2, Client.fields("again", id(), 900, F), "after");
+        assertThat(c.reply().field()).isZero();
+        assertThat(late.reply().field()).isZero();
+        stop.join(5000);
+        assertThat(stop.isAlive()).isFalse();
+        assertThatThrownBy(() -> new Client(p.port())).isInstanceOf(IOException.class);
+    }
+
+    /** A day's worth of new clients, ids, functions and workers leaves nothing behind. */
+    @Test void whatIsHeldLevelsOff() throws Exception {
+        Peer w = new Peer(Peer::well);
+        serve(256, w);
+        until(() -> !feed.asked.isEmpty());
+        for (int n = 1; n <= 400; n++) {
+            try (Client c = new Client(platform.port())) {
+                c.ask(1, Client.fields("again", id(), 900, String.format("%016x", n)), "x");
+                assertThat(c.reply().field()).isZero();
+            }
+            if (n % 10 == 0) {
+                feed.say(Feed.event(1 + n / 10, false, Feed.worker("w" + (n == 10 ? "0" : "n" + (n - 10)), w.at(), "DELETED", 0),
+                    Feed.worker("wn" + n, w.at(), "SERVING", 0)));
+            }
+        }
+        Thread.sleep(500);
+        int[] held = platform.held();
+        assertThat(held[0]).as("calls").isZero();
+        assertThat(held[1]).as("connections of clients").isLessThanOrEqualTo(1);
+        assertThat(held[2]).as("connections to workers").isLessThanOrEqualTo(6);
+    }
+
+    @ParameterizedTest @ValueSource(strings = {"settings", "known", "feed", "seed", "limits", "Lanes", "Zones"})
+    void aMissingKeyIsNamed(String key) throws Exception {
+        Map<String, String> e = environment(config(256).replace("\"" + key + "\":", "\"not" + key + "\":"));
+        assertThatThrownBy(() -> {
+            Given g = Given.read(e, 0);
+            new Platform(g, new Log()).close();
+        }).hasMessageContaining(key);
+    }
+
+    @Test void aMissingVariableOrFileIsNamed() throws Exception {
+        assertThatThrownBy(() -> Given.read(Map.of(), 0)).hasMessageContaining("NODE_CONFIG");
+        assertThatThrownBy(() -> Given.read(Map.of("NODE_CONFIG", dir + "/none"), 0)).hasMessageContaining("none: no such file");
+        assertThatThrownBy(() -> Given.read(environment("{"), 0)).hasMessageContaining("config.json");
+    }
+}
