Calls of functions that nobody has no longer slow loads or have workers shunned

Of 21 shuns 17 came from errors; 169 of 170 errors were of functions that never stood anywhere, each tried at three workers. At fault: Decide.orderEnded (any end but a good one halves ordersMost) and Decide.judge (any error counts against its worker). Change: a failed load of a function that was never seen to stand says nothing of the store; an error of one is counted against its worker only once another worker has finished the job. Tests: two, each red before.

--- a/src/main/java/switchgap/Decide.java
+++ b/src/main/java/switchgap/Decide.java
@@ -362,7 +362,7 @@
     }
 
     /**
-     * The design's one copy stays: the first one's idle time begins anew before it is over, for some keep-alives
+     * The design's one copy stays: its idle time begins anew before it is over, for some keep-alives
      * after the last job. Only where orders and memory cost little: no ration, no price, few routers, room.
      */
     private void stay(Function f) {
@@ -470,6 +470,7 @@
         if (end == End.FINISHED) {
             c.belief = Belief.STANDS;
             c.used = now;
+            j.function.stood = true;
         } else if (end == End.MISS) {
             if (c.belief != Belief.ORDERED) { c.belief = Belief.ABSENT; }
             hold(j.function, w);
@@ -511,8 +512,13 @@
         if (heard) { return; }
         c.out = false; // whatever is believed by now: such orders stayed counted for ever
         ordersOut--;
+        f.stood |= standing > 0;
         boolean well = end == End.FINISHED && less(took, keep.dividedBy(3));
-        ordersMost = well ? ordersMost + 1 / ordersMost : Math.max(1, ordersMost / 2);
+        if (well) {
+            ordersMost += 1 / ordersMost;
+        } else if (end != End.ERROR || f.stood) { // what never stood may be nobody's: no sign of the store
+            ordersMost = Math.max(1, ordersMost / 2);
+        }
         if (end == End.NO_CONNECTION || end == End.BROKEN) { fail(w, true); }
     }
 
@@ -633,6 +639,10 @@
             failing.add(0);
             w.strikes = w.onTrial ? 0 : w.strikes;
             w.onTrial = false;
+            if (j.erred != null) { fail(j.erred, false); } // so the fault was that worker's
+            j.erred = null;
+        } else if (end == End.ERROR && !j.function.stood) {
+            j.erred = w; // of what never stood anywhere the fault may be the call's own
         } else if (end == End.ERROR || end == End.BROKEN || end == End.NO_CONNECTION
             // A hung worker answers nothing; where answers get lost, others of the same worker come.
             || end == End.TIMED_OUT && !less(took, j.of.target) && less(w.heard, now.minus(took))) {
--- a/src/main/java/switchgap/state/Function.java
+++ b/src/main/java/switchgap/state/Function.java
@@ -16,6 +16,8 @@
     public int orders;
     public int came;
     public int jobs;
+    /** Whether a copy of it was ever seen to stand. */
+    public boolean stood;
     public int pressed;
     public Duration used;
     public Duration busySince;
--- a/src/main/java/switchgap/state/Job.java
+++ b/src/main/java/switchgap/state/Job.java
@@ -15,6 +15,8 @@
     public final Duration hint;
     public final List<Execution> executions = new ArrayList<>(2);
     public final BitSet failedAt = new BitSet();
+    /** Where it erred last before its function was seen to stand anywhere. */
+    public Worker erred;
     public double value;
     public double luck;
     public int outstanding;
--- a/src/test/java/switchgap/DecideTest.java
+++ b/src/test/java/switchgap/DecideTest.java
@@ -374,6 +374,59 @@
     }
 
     /** The client has the execution now: no limit, no pushback, no further execution, until its end comes. */
+    /** Orders out at a time for ten new functions, after {@code failed} orders for functions of nobody ended in an error. */
+    private static long ordersAfter(int failed) {
+        Bench b = new Bench(new Bench.Said());
+        List<int[]> orders = new ArrayList<>();
+        b.onHold = (w, f) -> orders.add(new int[] {w, f});
+        b.at(0, f -> list(f, 8));
+        for (int i = 0; i < failed; i++) {
+            int job = i;
+            b.at(10 + 10 * i, f -> b.job(f, job, 100 + job));
+            b.at(12 + 10 * i, f -> b.end(f, job, 0, b.sentTo(job), End.MISS, 2, -1));
+            int[] o = orders.remove(0);
+            b.at(14 + 10 * i, f -> {
+                f.orderEnded(o[0], o[1], End.ERROR, ms(1), 0);
+                f.left(job);
+            });
+            orders.forEach(x -> b.at(15, f -> f.orderEnded(x[0], x[1], End.ERROR, ms(1), 0)));
+            orders.clear();
+        }
+        for (int i = 0; i < 10; i++) {
+            int job = 50 + i;
+            b.at(500, f -> b.job(f, job, job));
+            b.at(502, f -> b.end(f, job, 0, b.sentTo(job), End.MISS, 2, -1));
+        }
+        return orders.size();
+    }
+
+    /** Seen on a day of rude clients: calls of functions that nobody has halved the pace of all loads, down to one at a time. */
+    @Test void failedLoadsOfFunctionsOfNobodyDoNotSlowTheOthers() {
+        assertThat(ordersAfter(0)).isGreaterThan(3);
+        assertThat(ordersAfter(6)).isEqualTo(ordersAfter(0));
+    }
+
+    /** Where jobs of eight functions go after so many calls of functions of nobody erred. */
+    private static List<Integer> placesAfter(int errors) {
+        Bench.Said said = new Bench.Said();
+        said.repeat = Repeat.RUN_ONCE;
+        Bench b = new Bench(said);
+        b.at(0, f -> list(f, 4));
+        for (int i = 0; i < errors; i++) {
+            int job = i;
+            b.at(10 + 5 * i, f -> b.job(f, job, 100 + job)).at(12 + 5 * i, f -> b.end(f, job, 0, b.sentTo(job), End.ERROR, 2, -1));
+        }
+        b.at(500, f -> {
+            for (int i = 0; i < 8; i++) { b.job(f, 50 + i, i); }
+        });
+        return java.util.stream.IntStream.range(50, 58).mapToObj(b::sentTo).toList();
+    }
+
+    /** Seen on the same day: errors that such calls met at one worker after the other had healthy workers shunned. */
+    @Test void errorsOfFunctionsOfNobodyShunNoWorker() {
+        assertThat(placesAfter(24)).isEqualTo(placesAfter(0)).doesNotContain(-1);
+    }
+
     /** Two jobs, then none: the home copy is held anew before its keep-alive of 10 s is over, for four of them. */
     private static Bench calledTwice(Bench.Said said) {
         Bench b = new Bench(said);
