Read again: a loosened bound back in place, the longest limit once, dead state out

Cause: a read of the whole change. FrameLink's 64 unsent frames had become 64 times the largest frame in bytes when it went onto ByteLink, which nobody asked for. The longest time limit was worked out in Gateway and again in Platform. Door kept each call with a connection that nothing read, Follow took its address twice, and two tests wrote the same request. Change: ByteLink counts writes under way and FrameLink bounds those again; Terms.longestLimit; Door keeps the calls; Follow learns its address by follow alone; the tests share Client.arguments. Left as they are: the constructors of two pools and two followers, alike in shape only.

--- a/src/main/java/switchgap/controlfeed/Follow.java
+++ b/src/main/java/switchgap/controlfeed/Follow.java
@@ -40,9 +40,8 @@
     private long heard;
 
     /** {@code last}: the number of the last event known already. */
-    public Follow(HttpLink.Opener opener, InetSocketAddress feed, long last, Event.Book book, Consumer<Event> events, Consumer<String> log) {
+    public Follow(HttpLink.Opener opener, long last, Event.Book book, Consumer<Event> events, Consumer<String> log) {
         this.opener = opener;
-        this.feed = feed;
         this.last = last;
         this.book = book;
         this.events = events;
--- a/src/main/java/switchgap/gateway/Gateway.java
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -88,11 +88,7 @@
             listening.set(watch::follow);
             watch.follow();
         }
-        Duration most = Duration.ZERO;
-        for (int w = 0; w < terms.workloads(); w++) {
-            most = most.compareTo(terms.timeLimit(w)) < 0 ? terms.timeLimit(w) : most;
-        }
-        longest = most;
+        longest = terms.longestLimit();
         sweeper = Clock.LATER.scheduleAtFixedRate(() -> {
             workers.sweep();
             loop.post(c -> gate.get().tick());
--- a/src/main/java/switchgap/platform/Platform.java
+++ b/src/main/java/switchgap/platform/Platform.java
@@ -52,12 +52,8 @@
         int bytes = (int) Math.min(Integer.MAX_VALUE, Runtime.getRuntime().maxMemory() / BYTE_SHARE);
         door = new Door(terms, terms.names("Lanes"), terms.names("Tenants"), new Door.Bounds(Math.max(1, g.sockets() / CLIENT_SHARE), bytes / 4,
             bytes, Math.min(terms.mostHeld(), MOST_CALLS), ARRIVAL), loop::now, loop::post, log::line);
-        Duration longest = Duration.ZERO;
-        for (int w = 0; w < terms.workloads(); w++) {
-            longest = longest.compareTo(terms.timeLimit(w)) < 0 ? terms.timeLimit(w) : longest;
-        }
-        this.longest = longest;
-        feed = new Follow(new HttpLink.Opener(net, null, 1 << 16), g.feed(), g.lastEvent(), g.book(), this::list, log::line);
+        longest = terms.longestLimit();
+        feed = new Follow(new HttpLink.Opener(net, null, 1 << 16), g.lastEvent(), g.book(), this::list, log::line);
         g.known().forEach(this::list);
         CountDownLatch known = new CountDownLatch(1);
         loop.post(c -> {
--- a/src/main/java/switchgap/port/Terms.java
+++ b/src/main/java/switchgap/port/Terms.java
@@ -18,6 +18,13 @@
 
     Duration timeLimit(int workload);
 
+    /** The longest of all workloads' time limits. */
+    default Duration longestLimit() {
+        Duration most = Duration.ZERO;
+        for (int w = 0; w < workloads(); w++) { most = most.compareTo(timeLimit(w)) < 0 ? timeLimit(w) : most; }
+        return most;
+    }
+
     double importance(int workload);
 
     /** The share of the importance that an answer after the start target still earns. */
--- a/src/main/java/switchgap/thrift/Door.java
+++ b/src/main/java/switchgap/thrift/Door.java
@@ -45,7 +45,7 @@
         final ByteLink link;
         final Frames frames = new Frames(MOST_FRAME);
         final AtomicInteger waiting = new AtomicInteger();
-        final Map<Integer, Asking> open = new HashMap<>();
+        final Map<Integer, Call> open = new HashMap<>();
         volatile Duration since; // of the connect, or of the first byte of a message that is not whole; null: of none
         volatile boolean spoke;
         Duration heard;
@@ -59,8 +59,6 @@
         boolean idle() { return open.isEmpty() && waiting.get() == 0; }
     }
 
-    private record Asking(Call call, Visit visit) { }
-
     private final Asked.Book book;
     private final Supplier<Duration> clock;
     private final Consumer<Consumer<Core>> events;
@@ -198,13 +196,13 @@
     private void left(Core c, Visit v, String why) {
         visits.remove(v);
         if (!v.open.isEmpty()) { log.accept("a client's connection ended with " + v.open.size() + " calls held: " + why); }
-        for (Asking a : List.copyOf(v.open.values())) { gone(c, a); }
+        for (Call x : List.copyOf(v.open.values())) { gone(c, x); }
         v.open.clear();
     }
 
-    private void gone(Core c, Asking a) {
-        over(a.call);
-        c.clientLeft(a.call);
+    private void gone(Core c, Call x) {
+        over(x);
+        c.clientLeft(x);
     }
 
     private void over(Call call) {
@@ -216,8 +214,8 @@
         if (!v.link.open()) { return; }
         v.heard = c.now();
         if (m.method().equals("revoke")) {
-            Asking a = v.open.remove(m.first());
-            if (a != null) { gone(c, a); }
+            Call x = v.open.remove(m.first());
+            if (x != null) { gone(c, x); }
             return;
         }
         if (v.open.containsKey(m.number()) || v.open.size() >= MOST_OPEN) {
@@ -243,7 +241,7 @@
         if (room && c.callCame(call)) {
             ids.add(call.id);
             heldBytes += call.body.length;
-            v.open.put(m.number(), new Asking(call, v));
+            v.open.put(m.number(), call);
         } else if (call.limit.compareTo(c.now()) > 0) { // nothing is sent after a limit
             refuse(v, m, book.terms().tellsComeBack() ? book.terms().mostComeBack() : null);
         }
--- a/src/main/java/switchgap/wire/ByteLink.java
+++ b/src/main/java/switchgap/wire/ByteLink.java
@@ -43,6 +43,7 @@
     private final Ear ear;
     private final AtomicBoolean over = new AtomicBoolean();
     private final AtomicInteger unsent = new AtomicInteger();
+    private final AtomicInteger writes = new AtomicInteger();
     /** The ear's own. */
     public volatile Object holder;
 
@@ -56,14 +57,21 @@
     /** Bytes given to send and not written yet. */
     public int unsent() { return unsent.get(); }
 
+    /** How many sends are not written yet. */
+    public int waiting() { return writes.get(); }
+
     /** Writes; false, and no byte goes out, where the link is closed. The bytes are the link's from now on. */
     public boolean send(byte[] bytes) {
         if (!open()) { return false; }
         unsent.addAndGet(bytes.length);
+        writes.incrementAndGet();
         ((TCPNIOTransport) connection.getTransport()).getAsyncQueueIO().getWriter().write((NIOConnection) connection,
             Buffers.wrap(connection.getMemoryManager(), bytes),
             new EmptyCompletionHandler<WriteResult<WritableMessage, SocketAddress>>() {
-                @Override public void completed(WriteResult<WritableMessage, SocketAddress> r) { unsent.addAndGet(-bytes.length); }
+                @Override public void completed(WriteResult<WritableMessage, SocketAddress> r) {
+                    unsent.addAndGet(-bytes.length);
+                    writes.decrementAndGet();
+                }
 
                 @Override public void failed(Throwable e) { close("a write failed"); }
             });
--- a/src/main/java/switchgap/wire/FrameLink.java
+++ b/src/main/java/switchgap/wire/FrameLink.java
@@ -20,17 +20,15 @@
     private static final Duration OPENS_WITHIN = Duration.ofSeconds(10);
     private final ByteLink link;
     private final Frames frames;
-    private final int most;
 
     private FrameLink(ByteLink link, int most) {
         this.link = link;
-        this.most = most;
         this.frames = new Frames(most);
     }
 
-    /** Sends a frame; false, and nothing is sent, while too much is unsent: the next one must make up for it. */
+    /** Sends a frame; false, and nothing is sent, while too many are unsent: the next one must make up for it. */
     public boolean send(byte[] frame) {
-        if (link.unsent() >= MOST_UNSENT * most) { return false; }
+        if (link.waiting() >= MOST_UNSENT) { return false; }
         byte[] all = new byte[4 + frame.length];
         ByteBuffer.wrap(all).putInt(frame.length).put(frame);
         return link.send(all);
--- a/src/test/java/switchgap/controlfeed/FollowTest.java
+++ b/src/test/java/switchgap/controlfeed/FollowTest.java
@@ -79,7 +79,7 @@
             return n > 2;
         };
         try (Feed feed = new Feed(manner); Net net = new Net(1, "follow");
-             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), feed.at(), 1, BOOK, e -> got.add(e.number()), w -> { })) {
+             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), 1, BOOK, e -> got.add(e.number()), w -> { })) {
             f.follow(feed.at());
             until(() -> got.size() >= 5);
             assertThat(got).containsExactly(2L, 3L, 4L, 5L, 6L);
@@ -98,7 +98,7 @@
             return true;
         };
         try (Feed first = new Feed(tells); Feed second = new Feed(later); Net net = new Net(1, "follow");
-             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), first.at(), 1, BOOK, e -> got.add(e.number()), w -> { })) {
+             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), 1, BOOK, e -> got.add(e.number()), w -> { })) {
             f.follow(first.at());
             until(() -> got.size() == 1); // on the second connection, as the first was silent
             assertThat(first.asked).containsExactly(1L, 1L);
--- a/src/test/java/switchgap/platform/Client.java
+++ b/src/test/java/switchgap/platform/Client.java
@@ -15,7 +15,7 @@
 import org.apache.thrift.transport.TMemoryBuffer;
 
 /** A client on a plain socket, with Apache Thrift's codec. */
-final class Client implements AutoCloseable {
+public final class Client implements AutoCloseable {
     /** What came: the message's type and number; of a reply the result's field (0 Answer, 1 Full, 2 Error), fields and body. */
     record Reply(int type, int number, int field, Map<String, String> fields, byte[] body, boolean good) { }
 
@@ -38,9 +38,16 @@
 
     static byte[] framed(byte[] frame) { return ByteBuffer.allocate(4 + frame.length).putInt(frame.length).put(frame).array(); }
 
-    static byte[] submit(int number, Map<String, String> fields, byte[] body) throws Exception {
+    private static byte[] submit(int number, Map<String, String> fields, byte[] body) throws Exception {
         TMemoryBuffer m = new TMemoryBuffer(256);
         TBinaryProtocol p = new TBinaryProtocol(m);
+        arguments(p, number, fields, body);
+        p.writeFieldStop();
+        return framed(java.util.Arrays.copyOf(m.getArray(), m.length()));
+    }
+
+    /** A submit up to its last argument. */
+    public static void arguments(TBinaryProtocol p, int number, Map<String, String> fields, byte[] body) throws Exception {
         p.writeMessageBegin(new TMessage("submit", (byte) 1, number));
         p.writeFieldBegin(new TField("fields", TType.MAP, (short) 1));
         p.writeMapBegin(new TMap(TType.STRING, TType.STRING, fields.size()));
@@ -50,8 +57,6 @@
         }
         p.writeFieldBegin(new TField("body", TType.STRING, (short) 2));
         p.writeBinary(ByteBuffer.wrap(body));
-        p.writeFieldStop();
-        return framed(java.util.Arrays.copyOf(m.getArray(), m.length()));
     }
 
     private static byte[] one(String method, int type, int number, byte kind, int value) throws Exception {
--- a/src/test/java/switchgap/thrift/MessageTest.java
+++ b/src/test/java/switchgap/thrift/MessageTest.java
@@ -14,7 +14,6 @@
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.protocol.TBinaryProtocol;
 import org.apache.thrift.protocol.TField;
-import org.apache.thrift.protocol.TMap;
 import org.apache.thrift.protocol.TMessage;
 import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.protocol.TType;
@@ -22,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import switchgap.platform.Client;
 import switchgap.router.Call;
 
 /** The client protocol against Apache Thrift's own codec, and against everything that is no message. */
@@ -31,16 +31,8 @@
 
     private static byte[] submit(Map<String, String> fields, byte[] body, int number) throws Exception {
         TMemoryBuffer m = new TMemoryBuffer(256);
-        TProtocol p = new TBinaryProtocol(m);
-        p.writeMessageBegin(new TMessage("submit", (byte) 1, number));
-        p.writeFieldBegin(new TField("fields", TType.MAP, (short) 1));
-        p.writeMapBegin(new TMap(TType.STRING, TType.STRING, fields.size()));
-        for (Map.Entry<String, String> e : fields.entrySet()) {
-            p.writeString(e.getKey());
-            p.writeString(e.getValue());
-        }
-        p.writeFieldBegin(new TField("body", TType.STRING, (short) 2));
-        p.writeBinary(ByteBuffer.wrap(body));
+        TBinaryProtocol p = new TBinaryProtocol(m);
+        Client.arguments(p, number, fields, body);
         p.writeFieldBegin(new TField("later", TType.LIST, (short) 9)); // a field of a later version is passed over
         p.writeListBegin(new org.apache.thrift.protocol.TList(TType.I32, 2));
         p.writeI32(1);
