Every job held gets its final answer, and nothing goes out for a client that has left

The margin is two ticks (2 ms), a paused process on half a core needs more. Asker.overdue now bears the answer; the platform's door sends it, the HTTP side stays silent. A call read and taken only past its limit is refused, not dropped. Door.message put an id into its tables after Core.callCame, which may answer at once (the job is hopeless): the id stayed until its connection ended. Tables are filled before the offer now. An errand now asks the call as it goes out (Errand.mayGo), an asker says gone() from what the selector has seen.

--- a/src/main/java/switchgap/gateway/Gateway.java
+++ b/src/main/java/switchgap/gateway/Gateway.java
@@ -143,7 +143,7 @@
         synchronized (lateness) { lateness.recordValue(Math.min(micros, lateness.getHighestTrackableValue())); }
     }
 
-    private static void failed(RuntimeException e) {
+    private static void failed(Throwable e) {
         LOG.error("a round failed; the router stops, its clients may retry", e);
         Runtime.getRuntime().halt(70);
     }
--- a/src/main/java/switchgap/gateway/Rehearsal.java
+++ b/src/main/java/switchgap/gateway/Rehearsal.java
@@ -76,7 +76,7 @@
         Asker nobody = new Asker() {
             @Override public void answered(Call c, Answer a) { }
 
-            @Override public void overdue(Call c) { }
+            @Override public void overdue(Call c, Answer late) { }
         };
         long began = System.nanoTime();
         for (int i = 0; i < CALLS && System.nanoTime() - began < MOST.toNanos(); i++) {
--- a/src/main/java/switchgap/invoke/InvokeApi.java
+++ b/src/main/java/switchgap/invoke/InvokeApi.java
@@ -195,7 +195,7 @@
             });
         }
 
-        @Override public void overdue(Call c) {
+        @Override public void overdue(Call c, Answer late) {
             ended(null);
             r.drop();
         }
@@ -222,9 +222,9 @@
                 e.answered(c, answer);
             }
 
-            @Override public void overdue(Call c) {
+            @Override public void overdue(Call c, Answer late) {
                 ended(null);
-                e.overdue(c);
+                e.overdue(c, late);
             }
         });
         deferred.held(e, call);
--- a/src/main/java/switchgap/lab/Emulator.java
+++ b/src/main/java/switchgap/lab/Emulator.java
@@ -140,7 +140,7 @@
                 }, a.kind() == Answer.Kind.FINISHED ? 200 : 503, a.comeBack() == null ? -1 : a.comeBack().toMillis()));
             }
 
-            @Override public void overdue(Call c) { }
+            @Override public void overdue(Call c, Answer late) { }
         };
         ticker.after(hop, () -> r.post(c -> {
             call[0] = new Call(t.call(), t.model().name(), t.model().workload(), own.customer(t.customer()),
--- a/src/main/java/switchgap/loop/Loop.java
+++ b/src/main/java/switchgap/loop/Loop.java
@@ -19,7 +19,7 @@
     private final Core core;
     private final Thread thread;
     private final LongConsumer late;
-    private final Consumer<RuntimeException> failed;
+    private final Consumer<Throwable> failed;
     private volatile boolean stopped;
     private volatile boolean asleep;
 
@@ -27,7 +27,7 @@
      * {@code late} hears the microseconds by which a round came after its due time, {@code failed} of a round that
      * failed: the loop ends there, as what is half done can't be gone on from.
      */
-    public Loop(Function<Loop, Core> make, String name, LongConsumer late, Consumer<RuntimeException> failed) {
+    public Loop(Function<Loop, Core> make, String name, LongConsumer late, Consumer<Throwable> failed) {
         this.late = late;
         this.failed = failed;
         core = make.apply(this);
@@ -64,6 +64,14 @@
     }
 
     @Override public void run() {
+        try {
+            rounds();
+        } catch (Throwable e) { // errors too: a thread that is gone serves nobody
+            failed.accept(e);
+        }
+    }
+
+    private void rounds() {
         List<Consumer<Core>> batch = new ArrayList<>();
         core.round(now(), batch); // the module asks for its first wake-up
         while (!stopped) {
@@ -77,12 +85,7 @@
                 continue;
             }
             if (isDue) { late.accept(now.minus(due).toNanos() / 1000); }
-            try {
-                core.round(now, batch);
-            } catch (RuntimeException e) {
-                failed.accept(e);
-                return;
-            }
+            core.round(now, batch);
             batch.clear();
         }
     }
--- a/src/main/java/switchgap/platform/Platform.java
+++ b/src/main/java/switchgap/platform/Platform.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import switchgap.controlfeed.Event;
 import switchgap.controlfeed.Follow;
 import switchgap.loop.Loop;
@@ -17,7 +18,9 @@
 
 /** A running router on the platform: one more way in and out of the core, under the module and nothing else. */
 final class Platform implements AutoCloseable {
-    private static final int CLIENT_SHARE = 3;      // of the descriptors, one in so many
+    // Of the descriptors, one in so many. A quarter is nobody's: files, selectors, the listener and the control feed.
+    private static final int CLIENT_SHARE = 3;
+    private static final int CROWD_SHARE = 12;      // clients that came while the loop had no time to make room
     private static final int WORKER_SHARE = 3;
     private static final int MOST_LINKS = 6;        // to one worker, descriptors allowing
     private static final int MOST_FUNCTIONS = 4096; // known at a time
@@ -26,8 +29,13 @@
     private static final int BYTE_SHARE = 16;       // of the heap, for what clients sent and for unread answers
     private static final Duration ARRIVAL = Duration.ofMillis(2000);    // for a message to come whole
     private static final Duration SWEEP = Duration.ofMillis(200);
-    private static final Duration STILL_COME = Duration.ofMillis(1000); // after SIGTERM, calls may come for 0.6 s
-    private static final Duration BEYOND = Duration.ofMillis(500);      // past the longest time limit
+    // After SIGTERM new connections come for 0.4 s and calls for 0.2 s more; SIGKILL comes no sooner than the longest time
+    // limit, or 3 s where it is shorter, and 0.7 s more.
+    private static final Duration STILL_COME = Duration.ofMillis(1000);
+    private static final Duration LEAST_LONGEST = Duration.ofMillis(3000);
+    private static final Duration ANSWERED_BY = Duration.ofMillis(500); // past the longest: all is answered
+    private static final Duration LOOK = Duration.ofMillis(20);
+    private static final int QUIET = 3; // looks one after the other that find nothing under way
     private final Log log;
     private final Net net;
     private final Loop loop;
@@ -41,8 +49,7 @@
         StatedTerms terms = g.terms();
         net = new Net(1, "net");
         AtomicReference<Workers> made = new AtomicReference<>();
-        int most = Math.max(2, Math.min(MOST_LINKS, g.sockets() / WORKER_SHARE / Math.max(1, workersOf(g))));
-        Workers.Bounds bounds = new Workers.Bounds(most, MOST_WAITING, terms.multiplex(), terms.connectWithin(), terms.idle().dividedBy(2),
+        Workers.Bounds bounds = new Workers.Bounds(Math.max(1, g.sockets() / WORKER_SHARE), MOST_LINKS, MOST_WAITING, terms.multiplex(), terms.connectWithin(), terms.idle().dividedBy(2),
             terms.tellsCrowd());
         loop = new Loop(l -> {
             made.set(new Workers(net, bounds, names(terms), terms.orderLimit(), terms.connectWithin(), l::now, l::post));
@@ -50,7 +57,8 @@
         }, "loop", late -> { }, this::failed);
         workers = made.get();
         int bytes = (int) Math.min(Integer.MAX_VALUE, Runtime.getRuntime().maxMemory() / BYTE_SHARE);
-        door = new Door(terms, terms.names("Lanes"), terms.names("Tenants"), new Door.Bounds(Math.max(1, g.sockets() / CLIENT_SHARE), bytes / 4,
+        door = new Door(terms, terms.names("Lanes"), terms.names("Tenants"), new Door.Bounds(Math.max(1, g.sockets() / CLIENT_SHARE),
+            Math.max(1, g.sockets() / CROWD_SHARE), bytes / 4,
             bytes, Math.min(terms.mostHeld(), MOST_CALLS), ARRIVAL), loop::now, loop::post, log::line);
         longest = terms.longestLimit();
         feed = new Follow(new HttpLink.Opener(net, null, 1 << 16), g.lastEvent(), g.book(), this::list, log::line);
@@ -72,10 +80,6 @@
         log.line("router " + g.name() + " serves at " + g.listen().getHostString() + ":" + door.port());
     }
 
-    private static int workersOf(Given g) {
-        return g.known().stream().mapToInt(e -> e.workers() == null ? 0 : e.workers().size()).max().orElse(1);
-    }
-
     private static String[] names(StatedTerms terms) {
         String[] names = new String[terms.workloads()];
         terms.names("Lanes").forEach((name, at) -> names[at] = name);
@@ -97,36 +101,51 @@
         c.later(c.now().plus(SWEEP), () -> sweep(c));
     }
 
-    private void failed(RuntimeException e) {
-        StackTraceElement[] at = e.getStackTrace();
-        log.line("a round failed, the router stops: " + e + (at.length > 0 ? " at " + at[0] : ""));
-        Runtime.getRuntime().halt(70);
-    }
+    private void failed(Throwable e) { Serve.failed(log, "a round failed", e); }
 
-    /** Is no longer good, goes on taking what may still come, answers all that is held, then closes. */
+    /**
+     * Is no longer good, goes on taking what may still come, and ends once nothing is under way: no call held, no message
+     * half come or unread by the loop, no answer unwritten. Whatever comes meanwhile is answered before SIGKILL can come.
+     */
     void stop() throws InterruptedException {
-        door.good(false);
-        long began = System.nanoTime();
+        Duration by = loop.now().plus(longest.compareTo(LEAST_LONGEST) < 0 ? LEAST_LONGEST : longest).plus(ANSWERED_BY);
+        door.stops(by);
         Thread.sleep(STILL_COME.toMillis());
-        while (held()[0] > 0 && System.nanoTime() - began < longest.plus(STILL_COME).plus(BEYOND).toNanos()) { Thread.sleep(20); }
+        for (int quiet = 0; quiet < QUIET && loop.now().compareTo(by) < 0;) {
+            Thread.sleep(LOOK.toMillis());
+            quiet = held()[3] > 0 ? 0 : quiet + 1;
+        }
         log.line("stopped, " + held()[0] + " calls held");
+        onLoop(c -> door.endAll(c));
+        Thread.sleep(LOOK.toMillis()); // for the last of them to be written
         close();
     }
 
-    /** Calls held, connections of clients, connections to workers. */
+    /** Connections of clients as the selector knows them: what it has told of them may still wait for the loop. */
+    int connected() { return door.connected(); }
+
+    /** Calls held, connections of clients, connections to workers, client connections with anything under way. */
     int[] held() throws InterruptedException {
-        int[] held = new int[3];
-        CountDownLatch looked = new CountDownLatch(1);
-        loop.post(c -> {
+        int[] held = new int[4];
+        onLoop(c -> {
             held[0] = door.held();
             held[1] = door.connections();
             held[2] = workers.connections();
-            looked.countDown();
+            held[3] = door.busy();
         });
-        looked.await();
         return held;
     }
 
+    /** Runs it in a round, and waits for that. */
+    void onLoop(Consumer<Core> event) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.post(c -> {
+            event.accept(c);
+            done.countDown();
+        });
+        done.await();
+    }
+
     @Override public void close() {
         feed.close();
         door.close();
--- a/src/main/java/switchgap/platform/Serve.java
+++ b/src/main/java/switchgap/platform/Serve.java
@@ -4,15 +4,25 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** The command {@code serve}: a router on the platform until SIGTERM. Exit codes: 0 stopped, 1 failed, 2 unusable input. */
+/** The command {@code serve}: a router on the platform until SIGTERM. Exit codes: 0 stopped, 1 failed, 2 unusable input, 70 a fault of its own. */
 public final class Serve {
     private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly"); // held, or its level is lost
 
+    private static final int FAILED = 70;
+
     private Serve() { }
 
+    /** A process of which a part is dead serves nobody: it ends with a line, and starts again from nothing. */
+    static void failed(Log log, String what, Throwable e) {
+        StackTraceElement[] at = e.getStackTrace();
+        log.line(what + ", the router stops: " + e + (at.length > 0 ? " at " + at[0] : ""));
+        Runtime.getRuntime().halt(FAILED);
+    }
+
     public static int run() {
         Log log = new Log();
         GRIZZLY.setLevel(Level.OFF); // it tells of each connection that a peer broke
+        Thread.setDefaultUncaughtExceptionHandler((t, e) -> failed(log, "thread " + t.getName() + " ended", e));
         try {
             Signals signals = new Signals();
             Platform p = new Platform(Given.read(System.getenv(), System.currentTimeMillis()), log);
--- a/src/main/java/switchgap/platform/Signals.java
+++ b/src/main/java/switchgap/platform/Signals.java
@@ -3,23 +3,33 @@
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * HUP and TERM, each to a runnable that may be set later. A HUP before anybody listens must not end the process, so the
- * handlers are there before anything else; the compiler knows the JDK's handler type only with a warning, hence by name.
+ * HUP and TERM. A HUP before anybody listens must not end the process, so the handlers are there before anything else;
+ * it is kept until somebody does. The compiler knows the JDK's handler type only with a warning, hence by name.
  */
 final class Signals {
-    private final AtomicReference<Runnable> hup = new AtomicReference<>(() -> { });
+    private Runnable hup;
+    private boolean missed;
     private final CountDownLatch term = new CountDownLatch(1);
 
     Signals() throws ReflectiveOperationException {
-        on("HUP", () -> hup.get().run());
+        on("HUP", this::hup);
         on("TERM", term::countDown);
         on("INT", term::countDown);
     }
 
-    void hup(Runnable then) { hup.set(then); }
+    /** One at a time, so that the one which began last has read the newest file. */
+    private synchronized void hup() {
+        missed = hup == null;
+        if (hup != null) { hup.run(); }
+    }
+
+    /** Runs at each HUP from now on, and now where one came before. */
+    synchronized void hup(Runnable then) {
+        hup = then;
+        if (missed) { hup(); }
+    }
 
     void awaitTerm() throws InterruptedException { term.await(); }
 
--- a/src/main/java/switchgap/resp/Errand.java
+++ b/src/main/java/switchgap/resp/Errand.java
@@ -42,7 +42,8 @@
         this.ended = ended;
     }
 
-    boolean mayGo() { return state == State.WAITING && (harmless || worker.takesNew); }
+    /** Asked as it is about to go out, not when it was decided: its worker may drain and its client leave in between. */
+    boolean mayGo() { return state == State.WAITING && (harmless || worker.takesNew) && (call == null || call.awaited()); }
 
     void end(Core c, End end, Reply reply) {
         if (state != State.OVER) {
--- a/src/main/java/switchgap/resp/Pool.java
+++ b/src/main/java/switchgap/resp/Pool.java
@@ -14,7 +14,6 @@
  * opened. All of it belongs to the router's loop.
  */
 final class Pool {
-    private static final int MOST_UNSENT = 64 << 10; // bytes: a link that takes no more of them is passed over
     private final Workers workers;
     private final InetSocketAddress address;
     private final List<Link> links = new ArrayList<>();
@@ -46,15 +45,28 @@
     private boolean mayOpen() {
         int live = opening;
         for (Link l : links) { live += l.mute ? 0 : 1; }
-        return live < workers.bounds.links() && links.size() + opening < 2 * workers.bounds.links();
+        int most = workers.perWorker();
+        return live < most && links.size() + opening < 2 * most && workers.room();
     }
 
-    /** The usable link with the least out, or null. */
+    /** The idle link that was of use the longest ago: of this worker's and {@code of}. */
+    Link leastUsed(Link of) {
+        Link least = of;
+        for (Link l : links) {
+            if (l.out.isEmpty() && l.bytes.open() && (least == null || l.used < least.used)) { least = l; }
+        }
+        return least;
+    }
+
+    /**
+     * The usable link with the least out, or null. One with bytes to write is passed over: what waits behind them would go
+     * out after its worker drained or its client left.
+     */
     private Link least(Errand e) {
         Link least = null;
         for (Link l : links) {
             boolean usable = !l.mute && l.bytes.open() && l.out.size() < workers.bounds.multiplex()
-                && l.bytes.unsent() <= MOST_UNSENT && !met(e, l);
+                && l.bytes.unsent() == 0 && !met(e, l);
             if (usable && (least == null || l.out.size() < least.out.size())) { least = l; }
         }
         return least;
@@ -86,6 +98,7 @@
         opening--;
         if (retired || !l.bytes.open()) {
             l.bytes.close("its worker is gone");
+            workers.ended();
         } else {
             links.add(l);
         }
@@ -94,6 +107,7 @@
 
     void failed(Core c) {
         opening--;
+        workers.ended();
         settle(c, End.NO_CONNECTION);
     }
 
@@ -115,7 +129,7 @@
 
     /** A connection ended; what was out on it may have run. */
     void closed(Core c, Link l) {
-        links.remove(l);
+        if (links.remove(l)) { workers.ended(); }
         List<Errand> all = List.copyOf(l.out.values());
         l.out.clear();
         all.forEach(e -> e.end(c, End.BROKEN, null));
@@ -183,6 +197,4 @@
         }
         return retired && links.isEmpty() && opening == 0;
     }
-
-    int size() { return links.size() + opening; }
 }
--- a/src/main/java/switchgap/resp/Workers.java
+++ b/src/main/java/switchgap/resp/Workers.java
@@ -25,11 +25,12 @@
 /** Executions, orders and probes as RESP commands. Selector threads read and decode; all else runs on the router's loop. */
 public final class Workers implements Outside {
     /**
-     * Connections and exchanges waiting for one, each a worker; executions that a connection carries; the span of a
-     * connect and of lying idle; whether answers tell of a crowd.
+     * Connections over all workers; connections and exchanges waiting for one, each a worker; executions that a connection
+     * carries; the span of a connect and of lying idle; whether answers tell of a crowd.
      */
-    public record Bounds(int links, int waiting, int multiplex, Duration connectWithin, Duration idle, boolean crowds) { }
+    public record Bounds(int connections, int links, int waiting, int multiplex, Duration connectWithin, Duration idle, boolean crowds) { }
 
+    private static final int LEAST_LINKS = 2;
     private static final int MOST_STRING = 16 << 10; // the longest body
     final Bounds bounds;
     private final String[] names;
@@ -40,6 +41,7 @@
     private final Duration probeLimit;
     private final Duration orderLimit;
     private long tags;
+    private int connections; // up or being opened
 
     /**
      * {@code names} are those of the workloads, {@code clock} is the router's, {@code events} its loop. Orders and probes
@@ -72,7 +74,23 @@
 
     // ------------------------------------------------------------------ connections
 
+    /** Connections that one worker may have, as the fleet in use shares them. */
+    int perWorker() { return Math.max(LEAST_LINKS, Math.min(bounds.links, bounds.connections / Math.max(1, pools.size()))); }
+
+    /** Whether one more fits; past the bound, the one that has been of no use for longest goes for it. */
+    boolean room() {
+        if (connections < bounds.connections) { return true; }
+        Link least = null;
+        for (Pool p : pools) { least = p.leastUsed(least); }
+        if (least != null) { least.bytes.close("the place is needed"); }
+        return least != null;
+    }
+
+    /** One has ended, or never came up. */
+    void ended() { connections--; }
+
     void dial(Pool p, InetSocketAddress to) {
+        connections++;
         opener.open(to, bounds.connectWithin(), new Dial.Opening<>() {
             @Override public void open(ByteLink l) {
                 Link k = new Link(l, p, new Reader(MOST_STRING), nanos());
@@ -110,7 +128,7 @@
     public void sweep() { pools.removeIf(p -> p.sweep(bounds.idle().toNanos())); }
 
     /** Connections to workers, with those under way. */
-    public int connections() { return pools.stream().mapToInt(Pool::size).sum(); }
+    public int connections() { return connections; }
 
     // ------------------------------------------------------------------ what the core asks
 
--- a/src/main/java/switchgap/router/Asker.java
+++ b/src/main/java/switchgap/router/Asker.java
@@ -5,6 +5,9 @@
     /** The one final answer. */
     void answered(Call c, Answer a);
 
-    /** The limit passed while the router could not act: nothing may be sent any more. */
-    void overdue(Call c);
+    /** The limit passed before this answer could be passed on; whether anything may still be sent is the protocol's to say. */
+    void overdue(Call c, Answer late);
+
+    /** Whether the client is known to have gone, though that has yet to be taken in: nothing further goes out for it. */
+    default boolean gone() { return false; }
 }
--- a/src/main/java/switchgap/router/Call.java
+++ b/src/main/java/switchgap/router/Call.java
@@ -65,4 +65,7 @@
     public State state() {
         return state;
     }
+
+    /** Whether anybody still waits for its answer: whatever has not gone out for another one need not go any more. */
+    public boolean awaited() { return state == State.HELD && !asker.gone(); }
 }
--- a/src/main/java/switchgap/router/Core.java
+++ b/src/main/java/switchgap/router/Core.java
@@ -147,7 +147,7 @@
 
     /**
      * An execution ended; the first end counts, a later one is a late answer and reaches nobody. An answer that
-     * comes when the limit has passed (a pause) is not passed on: nothing is sent after a limit.
+     * comes when the limit has passed (a pause) is told as overdue: most protocols send nothing after a limit.
      */
     public void executionEnded(Run r, End end, Loads loads, Answer answer) {
         if (r.ended) { return; }
@@ -243,10 +243,10 @@
     }
 
     private void answer(Call c, Answer a) {
-        if (now.compareTo(c.limit) >= 0) { // paused past the limit: silence, not a late answer
+        if (now.compareTo(c.limit) >= 0) { // paused past the limit
             end(c, Call.State.OVERDUE);
             watch.ended(c, null);
-            c.asker.overdue(c);
+            c.asker.overdue(c, a);
         } else {
             end(c, Call.State.ANSWERED);
             watch.ended(c, a);
--- a/src/main/java/switchgap/router/Deferred.java
+++ b/src/main/java/switchgap/router/Deferred.java
@@ -40,7 +40,7 @@
 
         @Override public void answered(Call c, Answer a) { home.end(this, a); }
 
-        @Override public void overdue(Call c) { home.end(this, null); }
+        @Override public void overdue(Call c, Answer late) { home.end(this, null); }
     }
 
     private static final int MOST_WAITERS = 8;
--- a/src/main/java/switchgap/router/Gate.java
+++ b/src/main/java/switchgap/router/Gate.java
@@ -53,7 +53,7 @@
     private void pushBack(Call c, Verdict v) {
         if (c.limit.compareTo(core.now()) <= 0) {
             c.state = Call.State.OVERDUE;
-            c.asker.overdue(c);
+            c.asker.overdue(c, Answer.pushedBack(v.comeBack()));
             return;
         }
         c.state = Call.State.ANSWERED;
--- a/src/main/java/switchgap/thrift/Door.java
+++ b/src/main/java/switchgap/thrift/Door.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -27,11 +28,11 @@
  */
 public final class Door implements ByteLink.Ear, AutoCloseable {
     /**
-     * What the door allows: connections at a time, bytes of one connection's unread answers, bytes of all messages that
+     * What the door allows: connections at a time, and more of them until the loop has made room, bytes of one connection's unread answers, bytes of all messages that
      * wait for the loop and of all calls held, calls held, and how long a connection may take for its first message or
      * for the rest of one.
      */
-    public record Bounds(int connections, int unread, int bytes, int calls, Duration arrival) { }
+    public record Bounds(int connections, int crowd, int unread, int bytes, int calls, Duration arrival) { }
 
     private static final int MOST_FRAME = 32 << 10;
     /** The protocol says 32, yet usual clients were seen with more than 200 open on a connection; memory is bounded below. */
@@ -39,15 +40,17 @@
     private static final int MOST_WAITING = 256; // messages of one connection that the loop has not seen
     private static final int BACKLOG = 512;
     private static final int MUTE = 4;   // a message's span, one in so many
-    private static final int CROWD = 2; // times its connections that a door holds until the loop has cleared up
 
     private static final class Visit {
         final ByteLink link;
         final Frames frames = new Frames(MOST_FRAME);
         final AtomicInteger waiting = new AtomicInteger();
         final Map<Integer, Call> open = new HashMap<>();
+        volatile boolean partial; // a message has begun and is not whole
         volatile Duration since; // of the connect, or of the first byte of a message that is not whole; null: of none
         volatile boolean spoke;
+        /** Numbers that a selector has read a revoke for and the loop has not: as many as messages wait. */
+        final Set<Integer> revoked = ConcurrentHashMap.newKeySet();
         Duration heard;
 
         Visit(ByteLink link, Duration now) {
@@ -67,9 +70,10 @@
     private final AtomicInteger connected = new AtomicInteger();
     private final AtomicInteger waitingBytes = new AtomicInteger();
     private final Set<Visit> visits = new HashSet<>();
-    private final Set<String> ids = new HashSet<>();
+    private final Map<String, Visit> holders = new HashMap<>(); // of calls held, by their ids
     private int heldBytes;
     private volatile boolean good;
+    private Duration by; // the router stops: whatever comes is answered by then; else null
     private ByteLink.Door listener;
 
     /** {@code clock} is the router's, {@code events} its loop. */
@@ -99,7 +103,7 @@
     @Override public void opened(ByteLink l) {
         Visit v = new Visit(l, clock.get());
         l.holder = v;
-        if (connected.incrementAndGet() > CROWD * bounds.connections) {
+        if (connected.incrementAndGet() > bounds.connections + bounds.crowd) {
             l.close("too many connections");
         } else {
             events.accept(c -> came(c, v));
@@ -110,7 +114,8 @@
         Visit v = (Visit) l.holder;
         Duration now = clock.get();
         boolean fits = v.frames.take(more, f -> frame(v, f, now));
-        v.since = !v.frames.partial() ? null : v.since == null ? now : v.since;
+        v.partial = v.frames.partial();
+        v.since = !v.partial ? null : v.since == null ? now : v.since;
         if (!fits) { l.close("a frame's length is out of bounds"); }
     }
 
@@ -135,6 +140,7 @@
         } else if (v.waiting.incrementAndGet() > MOST_WAITING || waitingBytes.addAndGet(frame.length) > bounds.bytes) {
             v.link.close("more messages than the router keeps up with");
         } else {
+            if (m.method().equals("revoke")) { v.revoked.add(m.first()); }
             events.accept(c -> {
                 v.waiting.decrementAndGet();
                 waitingBytes.addAndGet(-frame.length);
@@ -159,31 +165,56 @@
 
     // ------------------------------------------------------------------ on the loop
 
+    /** The router stops: it is no longer good, and whatever still comes is answered by then. */
+    public void stops(Duration answeredBy) {
+        good = false;
+        events.accept(c -> by = answeredBy);
+    }
+
+    /** Connections on which anything is under way: a call, a message half come or not seen yet, an answer not written. */
+    public int busy() {
+        int n = Math.max(0, connected.get() - visits.size()); // some have come that the loop has not heard of
+        for (Visit v : visits) { n += v.link.open() && (!v.idle() || v.partial || v.link.unsent() > 0) ? 1 : 0; }
+        return n;
+    }
+
+    /** Fails what is still held, as nothing of it can be waited for any more. */
+    public void endAll(Core c) {
+        for (Visit v : visits) {
+            v.open.forEach((number, call) -> send(v, Replies.declared("submit", number, 2, Map.of())));
+            for (Call x : List.copyOf(v.open.values())) { gone(c, x); }
+            v.open.clear();
+        }
+    }
+
     /** Calls held. */
-    public int held() { return ids.size(); }
+    public int held() { return holders.size(); }
 
     public int connections() { return visits.size(); }
 
+    /** As the selectors know them. */
+    public int connected() { return connected.get(); }
+
     private void came(Core c, Visit v) {
         visits.add(v);
         if (!v.link.open()) {
             visits.remove(v);
         } else if (visits.size() > bounds.connections) {
-            emptiest(c.now()).link.close("the place is needed");
+            Visit least = emptiest(c.now());
+            (least == null ? v : least).link.close("the place is needed");
         }
     }
 
-    /** The connection that would be missed least: no call of it is held or on its way here, and it is mute or silent for longest. */
+    /** The connection that would be missed least: no call of it is held or on its way here, and it is mute or silent for longest; or null. */
     private Visit emptiest(Duration now) {
         Visit least = null;
         for (Visit v : visits) {
-            if (v.link.open() && (least == null || emptier(v, least, now))) { least = v; }
+            if (v.link.open() && v.idle() && (least == null || emptier(v, least, now))) { least = v; }
         }
         return least;
     }
 
     private boolean emptier(Visit a, Visit b, Duration now) {
-        if (a.idle() != b.idle()) { return a.idle(); }
         if (mute(a, now) != mute(b, now)) { return mute(a, now); }
         return a.heard.compareTo(b.heard) < 0;
     }
@@ -206,7 +237,7 @@
     }
 
     private void over(Call call) {
-        ids.remove(call.id);
+        holders.remove(call.id);
         heldBytes -= call.body.length;
     }
 
@@ -214,35 +245,45 @@
         if (!v.link.open()) { return; }
         v.heard = c.now();
         if (m.method().equals("revoke")) {
+            v.revoked.remove(m.first());
             Call x = v.open.remove(m.first());
             if (x != null) { gone(c, x); }
             return;
         }
+        if (v.revoked.contains(m.number())) { return; } // withdrawn behind it in the queue: nothing is owed
         if (v.open.containsKey(m.number()) || v.open.size() >= MOST_OPEN) {
             v.link.close("two requests under one number, or too many open"); // an answer could be read as the other's
             return;
         }
         Call call;
         try {
-            call = Asked.read(m, book, came, new Asker() {
+            call = Asked.read(m, book, came, by, new Asker() {
                 @Override public void answered(Call x, Answer a) { Door.this.answered(v, m, x, a); }
 
-                @Override public void overdue(Call x) { done(v, m, x); }
+                /** Within half a second it only earns nothing; a call without its final answer is lost. */
+                @Override public void overdue(Call x, Answer late) { Door.this.answered(v, m, x, late); }
+
+                @Override public boolean gone() { return !v.link.open() || v.revoked.contains(m.number()); }
             });
         } catch (Asked.Unusable x) {
             unusable(v, m, x.getMessage());
             return;
         }
-        if (ids.contains(call.id)) {
+        Visit holder = holders.get(call.id);
+        if (holder != null && !holder.link.open()) { // sent again on a new connection, which came before the old one's end
+            left(c, holder, "sent again on another one");
+            holder = null;
+        }
+        if (holder != null) {
             unusable(v, m, "ref");
             return;
         }
-        boolean room = ids.size() < bounds.calls && heldBytes + call.body.length <= bounds.bytes;
-        if (room && c.callCame(call)) {
-            ids.add(call.id);
-            heldBytes += call.body.length;
-            v.open.put(m.number(), call);
-        } else if (call.limit.compareTo(c.now()) > 0) { // nothing is sent after a limit
+        boolean room = holders.size() < bounds.calls && heldBytes + call.body.length <= bounds.bytes;
+        holders.put(call.id, v); // before it is offered: its answer may come at once, and takes it out again
+        heldBytes += call.body.length;
+        v.open.put(m.number(), call);
+        if (!room || !c.callCame(call)) {
+            done(v, m, call);
             refuse(v, m, book.terms().tellsComeBack() ? book.terms().mostComeBack() : null);
         }
     }
--- /dev/null
+++ b/src/test/java/switchgap/platform/OnSockets.java
@@ -0,0 +1,110 @@
+package switchgap.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A router on the platform between scripted clients, workers and a feed; what is judged is what these saw. */
+abstract class OnSockets {
+    static final String F = "00000000000000f1";
+    @TempDir Path dir;
+    final List<AutoCloseable> open = new ArrayList<>();
+    Feed feed;
+    Platform platform;
+    String settings = TestTerms.SETTINGS;
+    private int ids;
+
+    @BeforeEach void feed() throws Exception {
+        feed = new Feed((n, last, out) -> true);
+        open.add(feed);
+    }
+
+    @AfterEach void close() throws Exception {
+        for (AutoCloseable c : open) { c.close(); }
+    }
+
+    String id() { return String.format("%016x", ++ids); }
+
+    Map<String, String> environment(String config) throws IOException {
+        Path file = Files.writeString(dir.resolve("config.json"), config);
+        return Map.of("NODE_NAME", "n1", "NODE_LISTEN", "127.0.0.1:0", "NODE_CONFIG", file.toString());
+    }
+
+    String config(int sockets, Peer... peers) {
+        return config(sockets, java.util.Arrays.stream(peers).map(Peer::at).toArray(String[]::new));
+    }
+
+    private String config(int sockets, String... at) {
+        List<String> workers = new ArrayList<>();
+        for (int i = 0; i < at.length; i++) { workers.add(Feed.worker("w" + i, at[i], "SERVING", 0)); }
+        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":" + sockets
+            + "},\"feed\":\"127.0.0.1:" + feed.at().getPort() + "\",\"known\":{\"n\":1,\"events\":[" + Feed.event(1, true, workers.toArray(new String[0]))
+            + "]},\"settings\":" + settings + "}";
+    }
+
+    Platform serve(int sockets, Peer... peers) throws Exception {
+        open.addAll(List.of(peers));
+        return serveAt(sockets, java.util.Arrays.stream(peers).map(Peer::at).toArray(String[]::new));
+    }
+
+    Platform serveAt(int sockets, String... workers) throws Exception {
+        platform = new Platform(Given.read(environment(config(sockets, workers)), System.currentTimeMillis()), new Log());
+        open.add(0, platform);
+        return platform;
+    }
+
+    Client client() throws Exception {
+        Client c = new Client(platform.port());
+        open.add(c);
+        return c;
+    }
+
+    static void until(java.util.function.BooleanSupplier so) throws InterruptedException {
+        for (int i = 0; i < 500 && !so.getAsBoolean(); i++) { Thread.sleep(10); }
+        assertThat(so.getAsBoolean()).isTrue();
+    }
+
+    static String text(Client.Reply r) { return new String(r.body(), StandardCharsets.ISO_8859_1); }
+
+    /** Holds the router's loop until the returned gate is closed: what comes meanwhile is read, and waits. */
+    AutoCloseable holdLoop() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        Thread t = new Thread(() -> {
+            try {
+                platform.onLoop(c -> {
+                    held.countDown();
+                    try {
+                        go.await();
+                    } catch (InterruptedException x) {
+                        throw new IllegalStateException(x);
+                    }
+                });
+            } catch (InterruptedException x) {
+                throw new IllegalStateException(x);
+            }
+        });
+        t.start();
+        held.await();
+        return () -> {
+            go.countDown();
+            t.join();
+        };
+    }
+
+    /** All that this client sent so far has been read: the answer to a heartbeat does not pass through the loop. */
+    static void read(Client c, int number) throws Exception {
+        c.heartbeat(number);
+        assertThat(c.reply().number()).isEqualTo(number);
+    }
+}
--- a/src/test/java/switchgap/platform/PlatformTest.java
+++ b/src/test/java/switchgap/platform/PlatformTest.java
@@ -6,72 +6,15 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import switchgap.wire.Net;
-
-/** A router on the platform between scripted clients, workers and a feed; what is judged is what these saw. */
-class PlatformTest {
-    private static final String F = "00000000000000f1";
-    @TempDir Path dir;
-    private final List<AutoCloseable> open = new ArrayList<>();
-    private Feed feed;
-    private Platform platform;
-    private int ids;
-
-    @BeforeEach void feed() throws Exception {
-        feed = new Feed((n, last, out) -> true);
-        open.add(feed);
-    }
-
-    @AfterEach void close() throws Exception {
-        for (AutoCloseable c : open) { c.close(); }
-    }
-
-    private String id() { return String.format("%016x", ++ids); }
-
-    private Map<String, String> environment(String config) throws IOException {
-        Path file = Files.writeString(dir.resolve("config.json"), config);
-        return Map.of("NODE_NAME", "n1", "NODE_LISTEN", "127.0.0.1:0", "NODE_CONFIG", file.toString());
-    }
-
-    private String config(int sockets, Peer... peers) {
-        List<String> workers = new ArrayList<>();
-        for (int i = 0; i < peers.length; i++) { workers.add(Feed.worker("w" + i, peers[i].at(), "SERVING", 0)); }
-        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":" + sockets
-            + "},\"feed\":\"127.0.0.1:" + feed.at().getPort() + "\",\"known\":{\"n\":1,\"events\":[" + Feed.event(1, true, workers.toArray(new String[0]))
-            + "]},\"settings\":" + TestTerms.SETTINGS + "}";
-    }
-
-    private Platform serve(int sockets, Peer... peers) throws Exception {
-        open.addAll(List.of(peers));
-        platform = new Platform(Given.read(environment(config(sockets, peers)), System.currentTimeMillis()), new Log());
-        open.add(0, platform);
-        return platform;
-    }
-
-    private Client client() throws Exception {
-        Client c = new Client(platform.port());
-        open.add(c);
-        return c;
-    }
-
-    private static void until(java.util.function.BooleanSupplier so) throws InterruptedException {
-        for (int i = 0; i < 500 && !so.getAsBoolean(); i++) { Thread.sleep(10); }
-        assertThat(so.getAsBoolean()).isTrue();
-    }
-
-    private static String text(Client.Reply r) { return new String(r.body(), StandardCharsets.ISO_8859_1); }
 
+/** A router on the platform through usual and bad clients, workers and lists. */
+class PlatformTest extends OnSockets {
     @Test void servesInAnyOrderAndPassesOnWhatIsTheirs() throws Exception {
         Peer w = new Peer((a, out) -> {
             if (!a.word().equals("DO") || !a.words().get(3).equals("slow")) { return Peer.well(a, out); }
--- a/src/test/java/switchgap/router/CoreOverDaysTest.java
+++ b/src/test/java/switchgap/router/CoreOverDaysTest.java
@@ -130,5 +130,5 @@
 
     @Override public void answered(Call c, Answer a) { answers++; }
 
-    @Override public void overdue(Call c) { overdue++; }
+    @Override public void overdue(Call c, Answer late) { overdue++; }
 }
--- a/src/test/java/switchgap/router/CoreTest.java
+++ b/src/test/java/switchgap/router/CoreTest.java
@@ -182,5 +182,5 @@
 
     @Override public void answered(Call c, Answer a) { said.add(a.kind().name()); }
 
-    @Override public void overdue(Call c) { said.add("overdue"); }
+    @Override public void overdue(Call c, Answer late) { said.add("overdue"); }
 }
--- a/src/test/java/switchgap/router/LinksTest.java
+++ b/src/test/java/switchgap/router/LinksTest.java
@@ -203,7 +203,7 @@
 
     @Override public void answered(Call c, Answer a) { }
 
-    @Override public void overdue(Call c) { }
+    @Override public void overdue(Call c, Answer late) { }
 
     @AfterEach void over() {
         if (links != null) { links.close(); }
