The control feed: an event that never ends is silence, the old address is heard to its end

The connection that told last tells on until its successor has spoken; events keep their order by their numbers; - a list that comes whole under the number of the last event was dropped; it says how things stand and is taken now, an older one is not. A timer's task that throws never runs again: Follow.look catches and logs. Dial: a span that ends before the future is stored cancels it afterwards (no test: the two lines cannot be held apart from outside). Ruled out: a head that never ends is no piece, so silence is found 2.3 s after the question; a gap met twice is all that the feed has, as it has been asked for just that number.

--- a/src/main/java/switchgap/controlfeed/Follow.java
+++ b/src/main/java/switchgap/controlfeed/Follow.java
@@ -14,7 +14,7 @@
  * Follows the control feed from a number on. Events are handed on once each and in order; whatever befalls the feed, the
  * last list stays in force. States: ASKING, FOLLOWING, AWAY (asks again after a pause), CLOSED. A feed that says nothing
  * for longer than two of its comments is asked anew on a further connection: one that is half open sounds like a fleet in
- * which nothing changes.
+ * which nothing changes. The connection that told last goes on telling until its successor does.
  */
 public final class Follow implements AutoCloseable {
     private enum State { ASKING, FOLLOWING, AWAY, CLOSED }
@@ -35,8 +35,10 @@
     private long last;
     private long gap;      // the number that a gap was met at: met again, it is all that there is
     private int tries;
-    private long turn;     // of the connection asked for last: whatever an earlier one says counts for nothing
-    private HttpLink link;
+    private long turn;     // of the connection asked for last
+    private long telling;  // of the one that told last, until a later one does: what others say counts for nothing
+    private HttpLink link; // the one asked last
+    private HttpLink teller;
     private long heard;
 
     /** {@code last}: the number of the last event known already. */
@@ -57,7 +59,15 @@
         ask();
     }
 
-    private synchronized void look() {
+    private void look() {
+        try {
+            lookFor();
+        } catch (RuntimeException e) { // a timer's task that throws never runs again
+            log.accept("control feed: " + e);
+        }
+    }
+
+    private synchronized void lookFor() {
         boolean silent = (state == State.ASKING || state == State.FOLLOWING) && System.nanoTime() - heard > SILENCE.toNanos();
         if (silent) {
             log.accept("control feed silent, it is asked anew");
@@ -82,13 +92,19 @@
             l.close();
             return;
         }
-        if (link != null) { link.close(); }
+        if (link != null && link != teller) { link.close(); }
         link = l;
         l.ask("GET", "/v1/events", Map.of("Last-Event-ID", String.valueOf(last), "Accept", "text/event-stream"), new byte[0], new Stream(mine));
     }
 
     private synchronized void away(long mine, String why) {
-        if (mine != turn || state == State.CLOSED) { return; }
+        if (state == State.CLOSED) { return; }
+        if (mine == telling) {
+            telling = 0;
+            teller.close();
+            teller = null;
+        }
+        if (mine != turn) { return; }
         if (tries == 0) { log.accept("control feed away, the last list stays: " + why); }
         Duration pause = tries == 0 ? Duration.ZERO : PAUSE.multipliedBy(1L << Math.min(tries - 1, 4));
         tries++;
@@ -96,7 +112,7 @@
         long then = ++turn;
         HttpLink old = link;
         link = null;
-        if (old != null) { old.close(); }
+        if (old != null && old != teller) { old.close(); }
         Clock.LATER.schedule(() -> again(then), pause.toMillis(), TimeUnit.MILLISECONDS);
     }
 
@@ -104,11 +120,14 @@
         if (mine == turn && state == State.AWAY) { ask(); }
     }
 
+    /** Whether this connection is the one asked last, or still the only one that tells. */
+    private boolean counts(long mine) { return state != State.CLOSED && (mine == turn || mine == telling); }
+
     private synchronized void event(long mine, String text) {
-        if (mine != turn || state == State.CLOSED) { return; }
+        if (!counts(mine)) { return; }
         try {
             Event e = Event.read(text, book);
-            if (e.number() <= last) { return; } // told before
+            if (e.number() < last || e.number() == last && !e.whole()) { return; } // told before
             if (e.number() > last + 1 && !e.whole() && gap != e.number()) {
                 gap = e.number();
                 away(mine, "event " + e.number() + " follows " + last);
@@ -125,6 +144,7 @@
         state = State.CLOSED;
         look.cancel(false);
         if (link != null) { link.close(); }
+        if (teller != null) { teller.close(); }
     }
 
     private final class Stream implements HttpLink.Exchange {
@@ -136,15 +156,27 @@
 
         @Override public boolean piece(byte[] bytes) {
             synchronized (Follow.this) {
-                if (mine != turn) { return true; }
-                heard = System.nanoTime();
-                state = State.FOLLOWING;
-                if (heard - began > LASTS.toNanos()) { tries = 0; } // one that breaks off at once is not asked at full speed
+                if (!counts(mine)) { return true; }
+            }
+            long lines = sse.lines();
+            boolean fits = sse.take(bytes, (id, data) -> event(mine, data));
+            synchronized (Follow.this) {
+                if (mine == turn && sse.lines() > lines) { told(); } // bytes of a line that never ends are silence
             }
-            if (!sse.take(bytes, (id, data) -> event(mine, data))) { away(mine, "an event over " + MOST_EVENT + " bytes"); }
+            if (!fits) { away(mine, "an event over " + MOST_EVENT + " bytes"); }
             return true;
         }
 
+        private void told() {
+            heard = System.nanoTime();
+            state = State.FOLLOWING;
+            if (heard - began > LASTS.toNanos()) { tries = 0; } // one that breaks off at once is not asked at full speed
+            if (telling == mine) { return; }
+            if (teller != null) { teller.close(); }
+            teller = link;
+            telling = mine;
+        }
+
         @Override public void answered(int status, Map<String, String> headers, byte[] body, boolean reusable) {
             away(mine, "it ended with status " + status);
         }
--- a/src/main/java/switchgap/controlfeed/Sse.java
+++ b/src/main/java/switchgap/controlfeed/Sse.java
@@ -11,6 +11,7 @@
     private final StringBuilder data = new StringBuilder();
     private String id;
     private boolean returned;
+    private long lines;
 
     /** A line or an event's data may hold {@code most} bytes. */
     Sse(int most) { this.most = most; }
@@ -27,6 +28,7 @@
                 line.write(b);
                 continue;
             }
+            lines++;
             String text = line.toString(StandardCharsets.UTF_8);
             line.reset();
             if (!line(text, event)) { return false; }
@@ -34,6 +36,9 @@
         return true;
     }
 
+    /** Lines that have come whole, comments too. */
+    long lines() { return lines; }
+
     private boolean line(String text, BiConsumer<String, String> event) {
         if (text.isEmpty()) {
             if (data.length() > 0) { event.accept(id, data.substring(0, data.length() - 1)); }
--- a/src/main/java/switchgap/wire/Dial.java
+++ b/src/main/java/switchgap/wire/Dial.java
@@ -54,6 +54,7 @@
         };
         GrizzlyFuture<Connection> f = connector.connect(to, from);
         dialled.set(f);
+        if (left.get() == null) { f.cancel(true); } // the span ended before there was anything to cancel
         f.addCompletionHandler(done);
     }
 }
--- a/src/test/java/switchgap/controlfeed/FollowTest.java
+++ b/src/test/java/switchgap/controlfeed/FollowTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -107,4 +108,125 @@
             assertThat(second.asked).containsExactly(2L);
         }
     }
+
+    /** Bytes of an event that never ends are no sign of life: what the feed tells elsewhere counts as told. */
+    @Test void aFeedWhoseEventNeverEndsIsSilent() throws Exception {
+        List<Long> got = new CopyOnWriteArrayList<>();
+        Feed.Manner manner = (n, last, out) -> {
+            if (n > 0) {
+                Feed.say(out, event(last + 1));
+                return true;
+            }
+            Thread trickles = new Thread(() -> {
+                try {
+                    out.write("data: ".getBytes(StandardCharsets.UTF_8));
+                    for (int i = 0; i < 100; i++) {
+                        out.write('x');
+                        Thread.sleep(50);
+                    }
+                } catch (IOException | InterruptedException x) {
+                    return; // it was left
+                }
+            });
+            trickles.setDaemon(true);
+            trickles.start();
+            return true;
+        };
+        try (Feed feed = new Feed(manner); Net net = new Net(1, "follow");
+             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), 1, BOOK, e -> got.add(e.number()), w -> { })) {
+            f.follow(feed.at());
+            long began = System.nanoTime();
+            until(() -> got.size() == 1);
+            assertThat((System.nanoTime() - began) / 1_000_000).isLessThan(4000); // its events count as told by then
+        }
+    }
+
+    /** Moved by a new configuration to an address that has yet to speak: the old one's last words are heard. */
+    @Test void theOldAddressIsHeardUntilTheNewOneSpeaks() throws Exception {
+        List<Long> got = new CopyOnWriteArrayList<>();
+        CountDownLatch speak = new CountDownLatch(1);
+        Feed.Manner beats = (n, last, out) -> {
+            out.write(": beat\n\n".getBytes(StandardCharsets.UTF_8));
+            return true;
+        };
+        Feed.Manner later = (n, last, out) -> {
+            try {
+                speak.await();
+            } catch (InterruptedException x) {
+                return false;
+            }
+            Feed.say(out, event(last + 1)); // what the old one told, too
+            Feed.say(out, event(last + 2));
+            return true;
+        };
+        try (Feed old = new Feed(beats); Feed anew = new Feed(later); Net net = new Net(1, "follow");
+             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), 1, BOOK, e -> got.add(e.number()), w -> { })) {
+            f.follow(old.at());
+            until(() -> old.asked.size() == 1);
+            old.say(event(2));
+            until(() -> got.size() == 1);
+            f.follow(anew.at());
+            until(() -> anew.asked.size() == 1);
+            old.say(event(3));
+            until(() -> got.size() == 2);
+            speak.countDown();
+            until(() -> got.size() == 3);
+            assertThat(got).containsExactly(2L, 3L, 4L);
+            assertThat(old.ended(0)).isTrue();
+            assertThat(old.asked).hasSize(1);
+            assertThat(anew.asked).containsExactly(2L);
+        }
+    }
+
+    /** The old address breaks off before the new one has spoken: it is not asked again, and the new one only once. */
+    @Test void theOldAddressMayEndBeforeTheNewOneSpeaks() throws Exception {
+        List<Long> got = new CopyOnWriteArrayList<>();
+        CountDownLatch speak = new CountDownLatch(1);
+        Feed.Manner later = (n, last, out) -> {
+            try {
+                speak.await();
+            } catch (InterruptedException x) {
+                return false;
+            }
+            Feed.say(out, event(last + 1));
+            return true;
+        };
+        Feed old = new Feed((n, last, out) -> {
+            out.write(": beat\n\n".getBytes(StandardCharsets.UTF_8));
+            return true;
+        });
+        try (Feed anew = new Feed(later); Net net = new Net(1, "follow");
+             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), 1, BOOK, e -> got.add(e.number()), w -> { })) {
+            f.follow(old.at());
+            until(() -> old.asked.size() == 1);
+            old.say(event(2));
+            until(() -> got.size() == 1);
+            f.follow(anew.at());
+            until(() -> anew.asked.size() == 1);
+            old.close();
+            speak.countDown();
+            until(() -> got.size() == 2);
+            assertThat(anew.asked).containsExactly(2L);
+        }
+    }
+
+    /** A list that comes whole under the number of the last event says how things stand; an older one does not. */
+    @Test void aWholeListUnderTheLastNumberCountsAndAnOlderOneDoesNot() throws Exception {
+        List<String> got = new CopyOnWriteArrayList<>();
+        Feed.Manner manner = (n, last, out) -> {
+            Feed.say(out, Feed.event(last - 1, true, Feed.worker("old", "127.0.0.1:7", "SERVING", 0)));
+            Feed.say(out, Feed.event(last, true, Feed.worker("same", "127.0.0.1:7", "DRAINING", 0)));
+            Feed.say(out, Feed.event(last, false, Feed.worker("told", "127.0.0.1:7", "SERVING", 0)));
+            Feed.say(out, Feed.event(last + 3, true, Feed.worker("ahead", "127.0.0.1:7", "SERVING", 0)));
+            Feed.say(out, event(last + 4));
+            return true;
+        };
+        try (Feed feed = new Feed(manner); Net net = new Net(1, "follow");
+             Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), 5, BOOK, e -> got.add(e.number() + e.workers().get(0).name()), w -> { })) {
+            f.follow(feed.at());
+            until(() -> got.size() == 3);
+            assertThat(got).containsExactly("5same", "8ahead", "9w9");
+            assertThat(feed.asked).containsExactly(5L); // a gap before a whole list is none
+        }
+    }
 }
--- a/src/test/java/switchgap/platform/Feed.java
+++ b/src/test/java/switchgap/platform/Feed.java
@@ -60,6 +60,12 @@
     /** To the connection opened last. */
     public void say(String event) throws IOException { say(open.get(open.size() - 1).getOutputStream(), event); }
 
+    /** Whether the follower has closed the n-th connection; waits for that. */
+    public boolean ended(int n) throws IOException {
+        open.get(n).setSoTimeout(5000);
+        return open.get(n).getInputStream().read() < 0;
+    }
+
     public static String event(long n, boolean all, String... workers) {
         return "{\"n\":" + n + ",\"members\":{\"rev\":7,\"all\":" + all + ",\"targets\":[" + String.join(",", workers) + "]}}";
     }
