--- a/src/main/java/switchgap/platform/Platform.java
+++ b/src/main/java/switchgap/platform/Platform.java
@@ -109,7 +109,7 @@
      */
     void stop() throws InterruptedException {
         Duration by = loop.now().plus(longest.compareTo(LEAST_LONGEST) < 0 ? LEAST_LONGEST : longest).plus(ANSWERED_BY);
-        door.stops(by);
+        door.good(false);
         Thread.sleep(STILL_COME.toMillis());
         for (int quiet = 0; quiet < QUIET && loop.now().compareTo(by) < 0;) {
             Thread.sleep(LOOK.toMillis());
--- a/src/main/java/switchgap/thrift/Asked.java
+++ b/src/main/java/switchgap/thrift/Asked.java
@@ -26,8 +26,7 @@
 
     private Asked() { }
 
-    /** {@code by}: its limit is no later; null: no bound but its own. */
-    static Call read(Message m, Book book, Duration now, Duration by, Asker asker) throws Unusable {
+    static Call read(Message m, Book book, Duration now, Asker asker) throws Unusable {
         if (m.fields() == null) { throw new Unusable("no fields"); }
         byte[] body = m.body() == null ? NOTHING : m.body();
         if (body.length > MOST_BODY) { throw new Unusable("bytes"); }
@@ -40,7 +39,6 @@
         // Nobody may wait for longer than twice what the operators state: such a call would only be kept.
         double longest = 2e-6 * book.terms.timeLimit(workload).toNanos();
         Duration limit = now.plus(span(number(m.fields().get("allow"), "allow", longest)));
-        if (by != null && by.compareTo(limit) < 0) { limit = by; }
         String effort = m.fields().get("effort");
         Duration hint = effort == null ? null : span(number(effort, "effort", HOUR));
         double memory = 0;
--- a/src/main/java/switchgap/thrift/Door.java
+++ b/src/main/java/switchgap/thrift/Door.java
@@ -73,7 +73,6 @@
     private final Map<String, Visit> holders = new HashMap<>(); // of calls held, by their ids
     private int heldBytes;
     private volatile boolean good;
-    private Duration by; // the router stops: whatever comes is answered by then; else null
     private ByteLink.Door listener;
 
     /** {@code clock} is the router's, {@code events} its loop. */
@@ -165,12 +164,6 @@
 
     // ------------------------------------------------------------------ on the loop
 
-    /** The router stops: it is no longer good, and whatever still comes is answered by then. */
-    public void stops(Duration answeredBy) {
-        good = false;
-        events.accept(c -> by = answeredBy);
-    }
-
     /** Connections on which anything is under way: a call, a message half come or not seen yet, an answer not written. */
     public int busy() {
         int n = Math.max(0, connected.get() - visits.size()); // some have come that the loop has not heard of
@@ -257,7 +250,7 @@
         }
         Call call;
         try {
-            call = Asked.read(m, book, came, by, new Asker() {
+            call = Asked.read(m, book, came, new Asker() {
                 @Override public void answered(Call x, Answer a) { Door.this.answered(v, m, x, a); }
 
                 /** Within half a second it only earns nothing; a call without its final answer is lost. */
--- /dev/null
+++ b/src/test/java/switchgap/loop/LoopTest.java
@@ -0,0 +1,31 @@
+package switchgap.loop;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import switchgap.platform.TestTerms;
+import switchgap.port.Terms;
+import switchgap.router.Core;
+import switchgap.router.Outside;
+
+/** A loop whose thread is gone serves nobody: whatever ends it is told. */
+class LoopTest {
+    @ParameterizedTest @ValueSource(ints = {1, 2})
+    void anErrorInAnyRoundIsToldTheFirstToo(int round) throws Exception {
+        Terms terms = TestTerms.terms();
+        Outside nothing = (Outside) Proxy.newProxyInstance(LoopTest.class.getClassLoader(), new Class<?>[] {Outside.class}, (p, m, a) -> null);
+        int[] rounds = {0};
+        CompletableFuture<Throwable> told = new CompletableFuture<>();
+        Loop loop = new Loop(l -> new Core(terms, (now, in, out) -> {
+            if (++rounds[0] == round) { throw new StackOverflowError("planted"); }
+        }, nothing, Duration.ofSeconds(1), Duration.ofSeconds(1), 10), "planted", late -> { }, told::complete);
+        loop.start();
+        loop.post(c -> { });
+        assertThat(told.get(5, TimeUnit.SECONDS)).hasMessage("planted");
+    }
+}
--- a/src/test/java/switchgap/platform/Client.java
+++ b/src/test/java/switchgap/platform/Client.java
@@ -23,8 +23,13 @@
     private final DataInputStream in;
     private final OutputStream out;
 
-    Client(int port) throws IOException {
-        socket = new Socket("127.0.0.1", port);
+    Client(int port) throws IOException { this(port, 0); }
+
+    /** {@code unread}: bytes that its system takes without its reading them, about; 0: as usual. */
+    Client(int port, int unread) throws IOException {
+        socket = new Socket();
+        if (unread > 0) { socket.setReceiveBufferSize(unread); }
+        socket.connect(new java.net.InetSocketAddress("127.0.0.1", port));
         socket.setTcpNoDelay(true);
         socket.setSoTimeout(5000);
         in = new DataInputStream(socket.getInputStream());
@@ -38,7 +43,7 @@
 
     static byte[] framed(byte[] frame) { return ByteBuffer.allocate(4 + frame.length).putInt(frame.length).put(frame).array(); }
 
-    private static byte[] submit(int number, Map<String, String> fields, byte[] body) throws Exception {
+    static byte[] submit(int number, Map<String, String> fields, byte[] body) throws Exception {
         TMemoryBuffer m = new TMemoryBuffer(256);
         TBinaryProtocol p = new TBinaryProtocol(m);
         arguments(p, number, fields, body);
--- a/src/test/java/switchgap/platform/Feed.java
+++ b/src/test/java/switchgap/platform/Feed.java
@@ -21,9 +21,12 @@
 
     public final List<Long> asked = new CopyOnWriteArrayList<>();
     private final List<Socket> open = new CopyOnWriteArrayList<>();
-    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final ServerSocket listener;
 
-    public Feed(Manner manner) throws IOException {
+    public Feed(Manner manner) throws IOException { this(0, manner); }
+
+    public Feed(int port, Manner manner) throws IOException {
+        listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         Thread t = new Thread(() -> {
             try {
                 for (int n = 0;; n++) { serve(listener.accept(), n, manner); }
--- a/src/test/java/switchgap/platform/OnSockets.java
+++ b/src/test/java/switchgap/platform/OnSockets.java
@@ -70,7 +70,7 @@
     }
 
     static void until(java.util.function.BooleanSupplier so) throws InterruptedException {
-        for (int i = 0; i < 500 && !so.getAsBoolean(); i++) { Thread.sleep(10); }
+        for (int i = 0; i < 5000 && !so.getAsBoolean(); i++) { Thread.sleep(1); }
         assertThat(so.getAsBoolean()).isTrue();
     }
 
--- /dev/null
+++ b/src/test/java/switchgap/platform/ProcessTest.java
@@ -0,0 +1,151 @@
+package switchgap.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** The router as a process, with signals as signals. Its configuration is a pipe where its start has to be held. */
+class ProcessTest extends OnSockets {
+    private Path file;
+    private Process process;
+    private Path log;
+
+    private static void shell(String command) throws IOException, InterruptedException {
+        assertThat(new ProcessBuilder("sh", "-c", command).inheritIO().start().waitFor()).as(command).isZero();
+    }
+
+    private void start(String before, String... options) throws IOException {
+        log = dir.resolve("log");
+        List<String> command = new ArrayList<>(List.of("exec", Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of(options));
+        command.addAll(List.of("-cp", "'" + System.getProperty("java.class.path") + "'", "switchgap.cli.Main", "serve"));
+        ProcessBuilder p = new ProcessBuilder("sh", "-c", before + String.join(" ", command)).redirectErrorStream(true).redirectOutput(log.toFile());
+        p.environment().putAll(java.util.Map.of("NODE_NAME", "n1", "NODE_LISTEN", "127.0.0.1:0", "NODE_CONFIG", file.toString()));
+        process = p.start();
+        open.add(() -> process.destroyForcibly().waitFor());
+    }
+
+    private String log() {
+        try {
+            return Files.readString(log);
+        } catch (IOException x) {
+            return ""; // not begun
+        }
+    }
+
+    private void signal(String name) throws Exception { shell("kill -" + name + " " + process.pid()); }
+
+    private int serves() throws Exception {
+        until(() -> log().contains(" serves at ") || !process.isAlive());
+        assertThat(process.isAlive()).as(log()).isTrue();
+        String at = log().substring(log().indexOf(" serves at ") + 11);
+        return Integer.parseInt(at.substring(at.indexOf(':') + 1, at.indexOf('\n')).trim());
+    }
+
+    private void endsWell() throws Exception {
+        assertThat(process.waitFor(5, TimeUnit.SECONDS)).as(log()).isTrue();
+        assertThat(process.exitValue()).as(log()).isZero();
+    }
+
+    private void pipe() throws Exception {
+        file = dir.resolve("config.json");
+        shell("mkfifo " + file);
+    }
+
+    /** The new configuration and its SIGHUP come while the old one is being read; the signal counted for nothing. */
+    @Test void aSighupDuringTheStartCounts() throws Exception {
+        pipe();
+        try (Peer w = new Peer(Peer::well); Feed anew = new Feed((n, last, out) -> true)) {
+            String config = config(256, w);
+            start("");
+            try (OutputStream held = Files.newOutputStream(file)) { // opened: the router reads, and its handlers stand
+                Path next = Files.writeString(dir.resolve("next.json"), config.replace(":" + feed.at().getPort(), ":" + anew.at().getPort()));
+                Files.move(next, file, StandardCopyOption.REPLACE_EXISTING);
+                signal("HUP");
+                signal("HUP");
+                until(() -> log().contains("SIGHUP") || process.isAlive());
+                held.write(config.getBytes(StandardCharsets.UTF_8));
+            }
+            serves();
+            until(() -> !anew.asked.isEmpty());
+            Files.writeString(file, "{"); // and one that is of no use keeps what there is
+            signal("HUP");
+            until(() -> log().contains("the old feed is kept"));
+            signal("TERM");
+            endsWell();
+        }
+    }
+
+    @Test void aSigtermDuringTheStartEndsItWell() throws Exception {
+        pipe();
+        try (Peer w = new Peer(Peer::well)) {
+            String config = config(256, w);
+            start("");
+            try (OutputStream held = Files.newOutputStream(file)) {
+                signal("TERM");
+                held.write(config.getBytes(StandardCharsets.UTF_8));
+            }
+            endsWell();
+        }
+    }
+
+    @Test void aSecondSigtermAndASighupDuringTheStopHarmNobody() throws Exception {
+        file = dir.resolve("config.json");
+        java.util.concurrent.CountDownLatch answer = new java.util.concurrent.CountDownLatch(1);
+        try (Peer w = new Peer((a, out) -> {
+            if (a.word().equals("DO")) { answer.await(); }
+            return Peer.well(a, out);
+        })) {
+            Files.writeString(file, config(256, w));
+            start("");
+            Client c = new Client(serves());
+            open.add(c);
+            c.ask(1, Client.fields("again", id(), 900, F), "x");
+            until(() -> w.came("DO").size() == 1);
+            signal("TERM");
+            int n = 1;
+            do { c.heartbeat(++n); } while (c.reply().good());
+            signal("HUP");
+            signal("TERM");
+            until(() -> log().contains("SIGHUP"));
+            answer.countDown();
+            assertThat(c.reply().field()).isZero();
+            endsWell();
+        }
+    }
+
+    /** With its descriptors taken by idle clients as far as it lets them, the feed comes back and jobs are served. */
+    @Test void idleClientsLeaveRoomForTheFeedAndTheWorkers() throws Exception {
+        file = dir.resolve("config.json");
+        try (Peer w = new Peer(Peer::well)) {
+            int port = feed.at().getPort();
+            Files.writeString(file, config(120, w));
+            feed.close(); // discovery is down
+            start("ulimit -n 120; ");
+            int at = serves();
+            for (int i = 0; i < 300; i++) { open.add(new Client(at)); }
+            java.time.Duration before = process.info().totalCpuDuration().orElseThrow();
+            Client usual = new Client(at);
+            open.add(usual);
+            for (int n = 1; n <= 5; n++) {
+                usual.ask(n, Client.fields("again", id(), 900, F), "x");
+                assertThat(usual.reply().field()).as(log()).isZero();
+            }
+            try (Feed back = new Feed(port, (n, last, out) -> true)) {
+                until(() -> !back.asked.isEmpty());
+            }
+            assertThat(process.info().totalCpuDuration().orElseThrow().minus(before).toMillis()).isLessThan(1500); // nothing spins
+            signal("TERM");
+            endsWell();
+        }
+    }
+}
--- a/src/test/java/switchgap/thrift/MessageTest.java
+++ b/src/test/java/switchgap/thrift/MessageTest.java
@@ -111,7 +111,7 @@
         Map<String, String> fields = new HashMap<>(FIELDS);
         if (value == null) { fields.remove(field); } else { fields.put(field, value); }
         var book = new Asked.Book(switchgap.platform.TestTerms.terms(), Map.of("again", 0, "once", 1), Map.of("shop", 0));
-        return Asked.read(Message.read(submit(fields, new byte[0], 1)), book, Duration.ofSeconds(1), null, null);
+        return Asked.read(Message.read(submit(fields, new byte[0], 1)), book, Duration.ofSeconds(1), null);
     }
 
     @Test void fieldsBecomeACall() throws Exception {
