--- a/src/main/java/switchgap/stated/StatedTerms.java
+++ b/src/main/java/switchgap/stated/StatedTerms.java
@@ -46,6 +46,9 @@
         }
     }
 
+    /** What is not stated costs nothing. */
+    private double cost(String path) { return lines.containsKey(path) ? real(path) : 0; }
+
     private int whole(String path) {
         return (int) real(path);
     }
@@ -191,7 +194,7 @@
 
     @Override public Duration loadsSpan() { return span("Extra.LoadSpanUs"); }
 
-    @Override public double memoryPrice() { return real("Extra.MemoryPrice"); }
+    @Override public double memoryPrice() { return cost("Extra.MemoryPrice"); }
 
     @Override public double[] kindMemory() {
         try {
@@ -206,7 +209,7 @@
             new Boolean[] {false, true, true, false});
     }
 
-    @Override public double crossingPrice() { return real("Costs.CrossZone"); }
+    @Override public double crossingPrice() { return cost("Costs.CrossZone"); }
 
     @Override public boolean asksForList() {
         return choice("Discovery", new String[] {"subscribe", "automatic"}, new Boolean[] {true, false});
--- a/src/test/java/switchgap/platform/PlatformTest.java
+++ b/src/test/java/switchgap/platform/PlatformTest.java
@@ -297,4 +297,39 @@
         assertThatThrownBy(() -> Given.read(Map.of("NODE_CONFIG", dir + "/none"), 0)).hasMessageContaining("none: no such file");
         assertThatThrownBy(() -> Given.read(environment("{"), 0)).hasMessageContaining("config.json");
     }
+
+    /** Another customer's settings: each serves a job from end to end. */
+    @ParameterizedTest @ValueSource(strings = {"no tenants", "tenants left out", "no zones", "one class", "no costs", "no reports", "no advice",
+        "limits of minutes", "limits of a tenth of a second", "nothing cold", "no orders", "a hundred routers"})
+    void otherCustomersSettingsServe(String what) throws Exception {
+        String workload = "again";
+        long allow = 450;
+        switch (what) {
+            case "no tenants" -> settings = settings.replaceAll("\"Tenants\":\\[[^]]*]", "\"Tenants\":[]");
+            case "tenants left out" -> settings = settings.replaceAll("\"Tenants\":\\[[^]]*],", "");
+            case "no zones" -> settings = settings.replace("[\"east\",\"west\"]", "[]");
+            case "one class" -> {
+                settings = settings.replaceAll("(?s)\\{\"Name\":\"again\"[^}]*},", "");
+                workload = "once";
+            }
+            case "no costs" -> settings = settings.replaceAll("\"Costs\":\\{[^}]*},", "").replaceAll("\"MemoryPrice\":0,", "");
+            case "no reports" -> settings = settings.replaceAll("(?s),\\s*\"Telemetry\":\\{[^}]*}", "").replace(",\"SaysCompany\":true", "");
+            case "no advice" -> settings = settings.replace("\"RetryAfter\":true,\"MaxRetryAfterUs\":900000,", "\"RetryAfter\":false,");
+            case "limits of minutes" -> {
+                allow = 300_000;
+                settings = settings.replace("\"AimUs\":300000,\"DeadlineUs\":1000000", "\"AimUs\":60000000,\"DeadlineUs\":600000000");
+            }
+            case "limits of a tenth of a second" -> settings = settings.replace("\"AimUs\":300000,\"DeadlineUs\":1000000", "\"AimUs\":40000,\"DeadlineUs\":450000");
+            case "nothing cold" -> settings = settings.replace("\"ColdUs\":2000000,\"FallMultiple\":3,\"OverloadForUs\":1000000", "\"ColdUs\":0,\"FallMultiple\":0,\"OverloadForUs\":0");
+            case "no orders" -> settings = settings.replace("\"IfCold\":\"miss\",\"PlacementCalls\":true", "\"IfCold\":\"load\",\"PlacementCalls\":false");
+            default -> settings = settings.replace("\"Balancers\":1,\"Me\":0", "\"Balancers\":100,\"Me\":99");
+        }
+        assertThat(settings).isNotEqualTo(TestTerms.SETTINGS);
+        serve(256, new Peer(Peer::well));
+        Client c = client();
+        for (int n = 1; n <= 3; n++) {
+            c.ask(n, Client.fields(workload, id(), allow, F), "x");
+            assertThat(c.reply().field()).isZero();
+        }
+    }
 }
