--- a/src/test/java/switchgap/controlfeed/FollowTest.java
+++ b/src/test/java/switchgap/controlfeed/FollowTest.java
@@ -141,6 +141,19 @@
         }
     }
 
+    /** Tells so many further events, once it may. */
+    private static Feed.Manner once(CountDownLatch may, int events) {
+        return (n, last, out) -> {
+            try {
+                may.await();
+            } catch (InterruptedException x) {
+                return false;
+            }
+            for (int e = 1; e <= events; e++) { Feed.say(out, event(last + e)); }
+            return true;
+        };
+    }
+
     /** Moved by a new configuration to an address that has yet to speak: the old one's last words are heard. */
     @Test void theOldAddressIsHeardUntilTheNewOneSpeaks() throws Exception {
         List<Long> got = new CopyOnWriteArrayList<>();
@@ -149,16 +162,7 @@
             out.write(": beat\n\n".getBytes(StandardCharsets.UTF_8));
             return true;
         };
-        Feed.Manner later = (n, last, out) -> {
-            try {
-                speak.await();
-            } catch (InterruptedException x) {
-                return false;
-            }
-            Feed.say(out, event(last + 1)); // what the old one told, too
-            Feed.say(out, event(last + 2));
-            return true;
-        };
+        Feed.Manner later = once(speak, 2); // the first of them the old one told, too
         try (Feed old = new Feed(beats); Feed anew = new Feed(later); Net net = new Net(1, "follow");
              Follow f = new Follow(new HttpLink.Opener(net, null, 1 << 16), 1, BOOK, e -> got.add(e.number()), w -> { })) {
             f.follow(old.at());
@@ -182,15 +186,7 @@
     @Test void theOldAddressMayEndBeforeTheNewOneSpeaks() throws Exception {
         List<Long> got = new CopyOnWriteArrayList<>();
         CountDownLatch speak = new CountDownLatch(1);
-        Feed.Manner later = (n, last, out) -> {
-            try {
-                speak.await();
-            } catch (InterruptedException x) {
-                return false;
-            }
-            Feed.say(out, event(last + 1));
-            return true;
-        };
+        Feed.Manner later = once(speak, 1);
         Feed old = new Feed((n, last, out) -> {
             out.write(": beat\n\n".getBytes(StandardCharsets.UTF_8));
             return true;
--- a/src/test/java/switchgap/platform/OnSockets.java
+++ b/src/test/java/switchgap/platform/OnSockets.java
@@ -79,6 +79,19 @@
 
     static String text(Client.Reply r) { return new String(r.body(), StandardCharsets.ISO_8859_1); }
 
+    /** Begins the router's stop; the thread ends with it. */
+    Thread stop() {
+        Thread t = new Thread(() -> {
+            try {
+                platform.stop();
+            } catch (InterruptedException x) {
+                throw new IllegalStateException(x);
+            }
+        });
+        t.start();
+        return t;
+    }
+
     /** Holds the router's loop until the returned gate is closed: what comes meanwhile is read, and waits. */
     AutoCloseable holdLoop() throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
--- a/src/test/java/switchgap/platform/PlatformTest.java
+++ b/src/test/java/switchgap/platform/PlatformTest.java
@@ -241,14 +241,7 @@
         Platform p = serve(256, w);
         Client c = client();
         c.ask(1, Client.fields("again", id(), 900, F), "before");
-        Thread stop = new Thread(() -> {
-            try {
-                p.stop();
-            } catch (InterruptedException x) {
-                throw new IllegalStateException(x);
-            }
-        });
-        stop.start();
+        Thread stop = stop();
         Thread.sleep(500);
         Client late = client();
         late.heartbeat(1);
--- a/src/test/java/switchgap/platform/StopTest.java
+++ b/src/test/java/switchgap/platform/StopTest.java
@@ -10,14 +10,7 @@
 /** A planned restart with something under way in each place that a request or an answer can be. */
 class StopTest extends OnSockets {
     private Thread stopping() throws Exception {
-        Thread t = new Thread(() -> {
-            try {
-                platform.stop();
-            } catch (InterruptedException x) {
-                throw new IllegalStateException(x);
-            }
-        });
-        t.start();
+        Thread t = stop();
         try (Client c = new Client(platform.port())) {
             for (int n = 1;; n++) { // it is told by a heartbeat
                 c.heartbeat(n);
