--- a/src/main/java/switchgap/net/HttpClientConnection.java
+++ b/src/main/java/switchgap/net/HttpClientConnection.java
@@ -11,7 +11,6 @@
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -67,7 +66,7 @@
             this.maxBodyBytes = maxBodyBytes;
             this.localAddress = localHost == null ? null : new InetSocketAddress(localHost, 0);
             FilterChainBuilder filters = FilterChainBuilder.stateless();
-            filters.add(new TransportFilter());
+            filters.add(new SocketFilter());
             filters.add(new UnsolicitedBytesFilter(connections));
             filters.add(new InterimResponseFilter(connections));
             filters.add(new HttpClientFilter());
--- a/src/main/java/switchgap/net/HttpServer.java
+++ b/src/main/java/switchgap/net/HttpServer.java
@@ -10,7 +10,6 @@
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
@@ -63,7 +62,7 @@
      */
     public int listen(String host, int port) throws IOException {
         FilterChainBuilder filters = FilterChainBuilder.stateless();
-        filters.add(new TransportFilter());
+        filters.add(new SocketFilter());
         filters.add(new RequestStartFilter(states));
         filters.add(httpFilter());
         filters.add(new RequestAssemblyFilter(states, openConnections, limits, handler));
--- a/src/main/java/switchgap/net/NetworkTransport.java
+++ b/src/main/java/switchgap/net/NetworkTransport.java
@@ -4,7 +4,6 @@
 import java.io.UncheckedIOException;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.glassfish.grizzly.utils.DelayedExecutor;
 import org.glassfish.grizzly.utils.IdleTimeoutFilter;
@@ -17,7 +16,7 @@
     /** Connections that the system may accept ahead of the process, for a server that states no number. */
     static final int LISTEN_BACKLOG = 4096;
     /** Bytes read at a time; Grizzly's default is as large as the socket's own buffer. */
-    private static final int READ_BUFFER_BYTES = 16 << 10;
+    static final int READ_BUFFER_BYTES = 16 << 10;
 
     final TCPNIOTransport transport;
     private DelayedExecutor idleTimers;
@@ -33,7 +32,7 @@
         ThreadPoolConfig selectorPool = ThreadPoolConfig.defaultConfig().copy();
         selectorPool.setPoolName(name).setCorePoolSize(selectors).setMaxPoolSize(selectors).setDaemon(true);
         TCPNIOTransportBuilder builder = TCPNIOTransportBuilder.newInstance();
-        builder.setIOStrategy(SameThreadIOStrategy.getInstance());
+        builder.setIOStrategy(new SelectorThreadStrategy());
         builder.setSelectorThreadPoolConfig(selectorPool);
         builder.setSelectorRunnersCount(selectors);
         builder.setTcpNoDelay(true);
--- a/src/main/java/switchgap/net/RawBytesWriter.java
+++ b/src/main/java/switchgap/net/RawBytesWriter.java
@@ -5,7 +5,6 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.asyncqueue.WritableMessage;
-import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
@@ -18,6 +17,6 @@
         CompletionHandler<WriteResult<WritableMessage, SocketAddress>> completionHandler) {
         TCPNIOTransport transport = (TCPNIOTransport) connection.getTransport();
         transport.getAsyncQueueIO().getWriter().write((NIOConnection) connection,
-            Buffers.wrap(connection.getMemoryManager(), bytes), completionHandler);
+            new SocketFilter.Message(bytes), completionHandler);
     }
 }
--- /dev/null
+++ b/src/main/java/switchgap/net/SelectorThreadStrategy.java
@@ -0,0 +1,61 @@
+package switchgap.net;
+
+import java.io.IOException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.IOStrategy;
+import org.glassfish.grizzly.Transport;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * Handles each event on its selector thread. An accept that fails is tried again after a delay: Grizzly 4.0.2
+ * ({@code TCPNIOTransport.fireIOEvent}, {@code SERVER_ACCEPT}) drops the failure and leaves the event ready, so
+ * that the selector would spin for as long as descriptors or memory are short.
+ */
+@SuppressWarnings("rawtypes") final class SelectorThreadStrategy implements IOStrategy {
+    private static final long ACCEPT_RETRY_DELAY_MILLIS = 20;
+
+    private final IOStrategy sameThread = SameThreadIOStrategy.getInstance();
+
+    @Override public boolean executeIoEvent(Connection connection, IOEvent event) throws IOException {
+        return executeIoEvent(connection, event, true);
+    }
+
+    @Override public boolean executeIoEvent(Connection connection, IOEvent event, boolean enabled)
+        throws IOException {
+        if (event != IOEvent.SERVER_ACCEPT) {
+            return sameThread.executeIoEvent(connection, event, enabled);
+        }
+        accept((TCPNIOServerConnection) connection);
+        return true;
+    }
+
+    private static void accept(TCPNIOServerConnection listener) throws IOException {
+        try {
+            listener.onAccept();
+        } catch (IOException e) {
+            if (listener.isOpen()) {
+                listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
+                TimerThread.EXECUTOR.schedule(() -> acceptAgain(listener), ACCEPT_RETRY_DELAY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    private static Void acceptAgain(TCPNIOServerConnection listener) throws IOException {
+        listener.enableIOEvent(IOEvent.SERVER_ACCEPT);
+        return null;
+    }
+
+    @Override public Executor getThreadPoolFor(Connection connection, IOEvent event) {
+        return null;
+    }
+
+    @Override public ThreadPoolConfig createDefaultWorkerPoolConfig(Transport transport) {
+        return null;
+    }
+}
--- a/src/main/java/switchgap/net/TcpConnection.java
+++ b/src/main/java/switchgap/net/TcpConnection.java
@@ -13,7 +13,6 @@
 import org.glassfish.grizzly.asyncqueue.WritableMessage;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -98,7 +97,7 @@
     }
 
     private static FilterChain filterChain(TcpConnectionFilter filter) {
-        return FilterChainBuilder.stateless().add(new TransportFilter()).add(filter).build();
+        return FilterChainBuilder.stateless().add(new SocketFilter()).add(filter).build();
     }
 
     /**
--- a/src/test/java/switchgap/server/platform/SystemCallFailureTest.java
+++ b/src/test/java/switchgap/server/platform/SystemCallFailureTest.java
@@ -123,4 +123,44 @@
             }
         }
     }
+
+    /** Even where each single read and write is interrupted, for a time, nothing is lost and nothing spins. */
+    @ParameterizedTest @CsvSource({"READ", "WRITE"})
+    void aBurstOfInterruptsIsWaitedOut(Call call) throws Exception {
+        try (RespTestServer worker = new RespTestServer(RespTestServer::serveAll)) {
+            int port = startWithFaults(worker);
+            ThriftTestClient client = answered(port);
+            served(port); // its code is warm
+            faults.inject(call, ErrorNumber.EINTR, 1);
+            client.ask(2, ThriftTestClient.fields("again", "00000000000000aa", 1900, FUNCTION), "x");
+            Duration before = processorTime();
+            Thread.sleep(1500);
+            assertThat(processorTime().minus(before)).isLessThan(Duration.ofMillis(300));
+            faults.clear();
+            assertThat(client.reply()).as(log()).isNotNull();
+            assertThat(served(port)).as(log()).isEqualTo(CLIENTS * REQUESTS_PER_CLIENT);
+        }
+    }
+
+    /** Whole requests that came while the process stood still are read before anything is judged overdue. */
+    @Test void whatArrivedInAPauseIsReadFirst() throws Exception {
+        try (RespTestServer worker = new RespTestServer(RespTestServer::serveAll)) {
+            int port = startWithFaults(worker);
+            for (int round = 0; round < 3; round++) {
+                List<ThriftTestClient> clients = new ArrayList<>();
+                for (int i = 0; i < 40; i++) { clients.add(new ThriftTestClient(port)); }
+                Thread.sleep(100); // all are accepted
+                signal("STOP");
+                Thread.sleep(2100);
+                for (ThriftTestClient client : clients) {
+                    client.ask(1, ThriftTestClient.fields("again", id(), 1900, FUNCTION), "x");
+                }
+                signal("CONT");
+                for (ThriftTestClient client : clients) {
+                    assertThat(client.reply()).as("an answer, not the end: " + log()).isNotNull();
+                    client.close();
+                }
+            }
+        }
+    }
 }
