After a pause of the process what arrived is read before anybody is judged overdue

Class: a span that one thread measures and another one feeds. Change: a tick that was held up lets the selectors read first (SelectorRounds, EventLoop); pauses are taken out of the spans of silence of clients, feed and HTTP connections (PauseDetector, PauseHistory), a connect timeout that fires late looks once more. What was read after a hold-up of the selector counts from its look before, so that no deadline begins anew.

--- a/src/main/java/switchgap/endpoints/EventStreamClient.java
+++ b/src/main/java/switchgap/endpoints/EventStreamClient.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import switchgap.net.HttpClientConnection;
+import switchgap.net.PauseDetector;
 import switchgap.net.TimerThread;
 import switchgap.protocol.sse.ServerSentEventDecoder;
 
@@ -47,6 +48,8 @@
     /** The number at which a gap was met: met again, nothing stands between. */
     private long gapSequence;
     private int failedAttempts;
+    private final PauseDetector pauseDetector = new PauseDetector(SILENCE_CHECK_INTERVAL,
+        Duration.ofNanos(System.nanoTime()));
     private long lastDataNanos;
     /** Number of the connection attempt made last. */
     private long latestAttempt;
@@ -90,6 +93,8 @@
     }
 
     private synchronized void reconnectIfSilent() {
+        // what the feed said while the process was held up is not read yet
+        lastDataNanos += pauseDetector.heldUp(Duration.ofNanos(System.nanoTime())).toNanos();
         if (state.awaitsData() && System.nanoTime() - lastDataNanos > SILENCE_TIMEOUT.toNanos()) {
             log.accept("control feed silent, it is asked anew");
             connect();
--- a/src/main/java/switchgap/eventloop/EventLoop.java
+++ b/src/main/java/switchgap/eventloop/EventLoop.java
@@ -18,6 +18,8 @@
     /** Events of one tick; the rest waits for the next, so that timers stay on time. */
     private static final int MAX_EVENTS_PER_TICK = 512;
     private static final long STOP_TIMEOUT_MILLIS = 5000;
+    /** A tick that is later was held up with the process: what came meanwhile is read first. */
+    private static final Duration HELD_UP = Duration.ofMillis(100);
 
     private final long startedNanos = System.nanoTime();
     private final ConcurrentLinkedQueue<Consumer<RouterCore>> queue = new ConcurrentLinkedQueue<>();
@@ -26,6 +28,7 @@
     private final Thread thread;
     private final LongConsumer latenessListener;
     private final Consumer<Throwable> failureListener;
+    private final Runnable pendingReads;
     private volatile boolean stopped;
     private volatile boolean asleep;
 
@@ -37,11 +40,14 @@
      * @param latenessListener  hears the microseconds by which a tick came after its due time
      * @param failureListener   hears of a tick that failed: the loop ends there, as what is half done can't
      *     be gone on from
+     * @param pendingReads      blocks, for a bounded time, until what stands in the sockets has been read and
+     *     posted; called when a tick was held up, before anything is judged overdue
      */
     public EventLoop(Function<EventLoop, RouterCore> coreFactory, String threadName,
-        LongConsumer latenessListener, Consumer<Throwable> failureListener) {
+        LongConsumer latenessListener, Consumer<Throwable> failureListener, Runnable pendingReads) {
         this.latenessListener = latenessListener;
         this.failureListener = failureListener;
+        this.pendingReads = pendingReads;
         core = coreFactory.apply(this);
         thread = new Thread(this, threadName);
     }
@@ -97,7 +103,7 @@
         List<Consumer<RouterCore>> batch = new ArrayList<>();
         core.tick(now(), batch); // the policy asks for its first wake-up
         while (!stopped) {
-            gather(batch);
+            gather(batch, MAX_EVENTS_PER_TICK);
             Duration due = core.nextDue();
             Duration now = now();
             boolean isDue = due != null && due.compareTo(now) <= 0;
@@ -108,19 +114,23 @@
             if (isDue) {
                 latenessListener.accept(now.minus(due).toNanos() / 1000);
             }
-            core.tick(now, batch);
+            if (isDue && now.minus(due).compareTo(HELD_UP) > 0) {
+                pendingReads.run();
+                gather(batch, Integer.MAX_VALUE);
+            }
+            core.tick(now(), batch);
             batch.clear();
         }
     }
 
     /** All urgent events, and others up to the bound of a tick. */
-    private void gather(List<Consumer<RouterCore>> batch) {
+    private void gather(List<Consumer<RouterCore>> batch, int maxEvents) {
         Consumer<RouterCore> event = urgent.poll();
         while (event != null) {
             batch.add(event);
             event = urgent.poll();
         }
-        while (batch.size() < MAX_EVENTS_PER_TICK) {
+        while (batch.size() < maxEvents) {
             event = queue.poll();
             if (event == null) {
                 return;
--- a/src/main/java/switchgap/net/Connector.java
+++ b/src/main/java/switchgap/net/Connector.java
@@ -42,6 +42,9 @@
         Consumer<C> close) {
     }
 
+    /** Time in which a selector sees what came in a pause of the process. */
+    private static final Duration READ_AFTER_PAUSE = Duration.ofMillis(50);
+
     private Connector() {}
 
     /**
@@ -65,14 +68,15 @@
         private final AtomicReference<GrizzlyFuture<Connection>> pendingFuture = new AtomicReference<>();
         private final ConnectionAdapter<C> adapter;
         private final Duration timeout;
-        private final ScheduledFuture<?> timer;
+        private final long dueNanos;
+        private volatile ScheduledFuture<?> timer;
 
         Attempt(Duration timeout, ConnectCallback<C> callback, ConnectionAdapter<C> adapter) {
             this.pendingCallback = new AtomicReference<>(callback);
             this.adapter = adapter;
             this.timeout = timeout;
-            this.timer = TimerThread.EXECUTOR.schedule(this::timedOut, timeout.toMillis(),
-                TimeUnit.MILLISECONDS);
+            this.dueNanos = System.nanoTime() + timeout.toNanos();
+            this.timer = TimerThread.EXECUTOR.schedule(this::due, timeout.toMillis(), TimeUnit.MILLISECONDS);
         }
 
         void started(GrizzlyFuture<Connection> future) {
@@ -82,6 +86,17 @@
             }
         }
 
+        /** Held up with the process, a timer must not go before what the selector has not seen yet. */
+        private void due() {
+            long lateNanos = System.nanoTime() - dueNanos;
+            if (lateNanos < PauseDetector.THRESHOLD.toNanos()) {
+                timedOut();
+            } else if (pendingCallback.get() != null) {
+                timer = TimerThread.EXECUTOR.schedule(this::timedOut, READ_AFTER_PAUSE.toMillis(),
+                    TimeUnit.MILLISECONDS);
+            }
+        }
+
         private void timedOut() {
             fail("no connection within " + timeout.toMillis() + " ms");
             GrizzlyFuture<Connection> future = pendingFuture.get();
--- a/src/main/java/switchgap/net/HttpServer.java
+++ b/src/main/java/switchgap/net/HttpServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledFuture;
@@ -43,6 +44,8 @@
     private final ConnectionLimits limits;
     private final RequestHandler handler;
     private final Set<Connection<?>> openConnections = ConcurrentHashMap.newKeySet();
+    /** The timer thread alone uses it. */
+    private final PauseHistory pauses = new PauseHistory();
     private TCPNIOServerConnection listener;
     private ScheduledFuture<?> sweeper;
 
@@ -71,8 +74,10 @@
         listener = binding.bind(new InetSocketAddress(host, port), NetworkTransport.LISTEN_BACKLOG);
         long interval = Math.max(MIN_SWEEP_INTERVAL_MILLIS,
             limits.receiveTimeout().toMillis() / SWEEPS_PER_RECEIVE_TIMEOUT);
-        sweeper = TimerThread.EXECUTOR.scheduleAtFixedRate(this::closeOverdueConnections, interval, interval,
-            TimeUnit.MILLISECONDS);
+        PauseDetector pauseDetector = new PauseDetector(Duration.ofMillis(interval),
+            Duration.ofNanos(System.nanoTime()));
+        sweeper = TimerThread.EXECUTOR.scheduleAtFixedRate(() -> closeOverdueConnections(pauseDetector),
+            interval, interval, TimeUnit.MILLISECONDS);
         return ((InetSocketAddress) listener.getLocalAddress()).getPort();
     }
 
@@ -96,11 +101,17 @@
     /**
      * Guards against clients that never complete a request: one byte a minute, half a head and then silence,
      * or a connection on which nothing comes at all. Each kept its place for good, until all were taken.
+     * Pauses of the process do not count.
      */
-    private void closeOverdueConnections() {
-        long nowNanos = System.nanoTime();
+    private void closeOverdueConnections(PauseDetector pauseDetector) {
+        Duration now = Duration.ofNanos(System.nanoTime());
+        Duration pause = pauseDetector.heldUp(now);
+        pauses.add(now, pause);
+        if (!pause.isZero()) {
+            transport.awaitPendingReads(); // requests may have come meanwhile
+        }
         openConnections.forEach(connection -> {
-            if (states.get(connection).isOverdue(nowNanos, limits)) {
+            if (states.get(connection).isOverdue(now, limits, pauses)) {
                 connection.closeSilently();
             }
         });
--- a/src/main/java/switchgap/net/NetworkTransport.java
+++ b/src/main/java/switchgap/net/NetworkTransport.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
@@ -18,7 +19,11 @@
     /** Bytes read at a time; Grizzly's default is as large as the socket's own buffer. */
     static final int READ_BUFFER_BYTES = 16 << 10;
 
+    /** Time for which a thread waits for reads after a pause; selectors that are alive need far less. */
+    private static final Duration MAX_READ_WAIT = Duration.ofMillis(200);
+
     final TCPNIOTransport transport;
+    private final SelectorRounds rounds = new SelectorRounds();
     private DelayedExecutor idleTimers;
 
     /**
@@ -41,6 +46,7 @@
         builder.setServerConnectionBackLog(LISTEN_BACKLOG);
         builder.setReadBufferSize(READ_BUFFER_BYTES);
         transport = builder.build();
+        transport.setSelectorHandler(rounds);
         transport.start();
     }
 
@@ -53,6 +59,26 @@
         return idleTimers;
     }
 
+    /**
+     * Waits until what stands in the sockets now has been read, for a bounded time: after a pause of the
+     * process nobody is judged silent or overdue before. Not for selector threads.
+     */
+    public void awaitPendingReads() {
+        try {
+            rounds.awaitPendingReads(MAX_READ_WAIT);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * How long bytes that are being handed on may have stood in their socket, because the process was held
+     * up; zero as a rule. For selector threads.
+     */
+    public static Duration possibleReadDelay() {
+        return SelectorRounds.possibleDelay();
+    }
+
     /** Closes all connections and ends the threads. */
     @Override public synchronized void close() {
         if (idleTimers != null) {
--- a/src/main/java/switchgap/net/ServerConnectionState.java
+++ b/src/main/java/switchgap/net/ServerConnectionState.java
@@ -1,5 +1,6 @@
 package switchgap.net;
 
+import java.time.Duration;
 import java.util.Arrays;
 import org.glassfish.grizzly.Buffer;
 
@@ -28,12 +29,16 @@
     }
 
     /** Whether the request that is being received, or the first one, has taken too long to come. */
-    boolean isOverdue(long nowNanos, ConnectionLimits limits) {
+    boolean isOverdue(Duration now, ConnectionLimits limits, PauseHistory pauses) {
         long startedNanos = requestStartedNanos;
         if (startedNanos != NONE) {
-            return nowNanos - startedNanos > limits.receiveTimeout().toNanos();
+            return exceeds(limits.receiveTimeout(), startedNanos, now, pauses);
         }
-        return !usedForRequest && nowNanos - openedNanos > limits.idleTimeout().toNanos();
+        return !usedForRequest && exceeds(limits.idleTimeout(), openedNanos, now, pauses);
+    }
+
+    private static boolean exceeds(Duration timeout, long startedNanos, Duration now, PauseHistory pauses) {
+        return pauses.runningTime(Duration.ofNanos(startedNanos), now).compareTo(timeout) > 0;
     }
 
     int bodyBytes() {
--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import switchgap.net.FrameDecoder;
+import switchgap.net.PauseHistory;
 import switchgap.net.TcpConnection;
 import switchgap.router.PendingRequest;
 
@@ -138,10 +139,10 @@
         return !hasSentMessage && now.minus(lastHandledAt).compareTo(timeout) > 0;
     }
 
-    /** Whether a message is due for longer than the timeout. */
-    boolean isReceiveOverdue(Duration now, Duration timeout) {
+    /** Whether a message is due for longer than the timeout, pauses of the process left out. */
+    boolean isReceiveOverdue(Duration now, Duration timeout, PauseHistory pauses) {
         Duration since = receivingSince;
-        return since != null && now.minus(since).compareTo(timeout) > 0;
+        return since != null && pauses.runningTime(since, now).compareTo(timeout) > 0;
     }
 
     /** When the event loop handled its last message, or the time of the connect. */
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import switchgap.net.PauseHistory;
 
 /**
  * The clients' connections as the event loop knows them, bounded: past the bound an idle connection is
@@ -18,6 +19,7 @@
     private final int maxConnections;
     private final Duration receiveTimeout;
     private final Duration silentTimeout;
+    private final PauseHistory pauses = new PauseHistory();
 
     ClientConnectionTable(int maxConnections, Duration receiveTimeout) {
         this.maxConnections = maxConnections;
@@ -61,10 +63,15 @@
         return new ArrayList<>(connections);
     }
 
+    /** The process was held up for so long, until now: no client is to blame for it. */
+    void pauseEnded(Duration now, Duration length) {
+        pauses.add(now, length);
+    }
+
     /** Closes connections that take too long for a message. */
     void closeOverdue(Duration now) {
         for (ClientConnection connection : snapshot()) {
-            if (connection.isReceiveOverdue(now, receiveTimeout)) {
+            if (connection.isReceiveOverdue(now, receiveTimeout, pauses)) {
                 connection.close("no whole message in time");
             }
         }
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import switchgap.net.NetworkTransport;
+import switchgap.net.PauseDetector;
 import switchgap.net.TcpConnection;
 import switchgap.policy.api.RouterSettings;
 import switchgap.router.RouterCore;
@@ -28,9 +29,10 @@
      *     all requests in flight
      * @param maxRequests           requests in flight
      * @param receiveTimeout        for a connection's first message, and for the rest of any message
+     * @param sweepInterval         of the calls of {@link ThriftServer#sweep}
      */
     public record ConnectionLimits(int maxConnections, int maxExcessConnections, int maxUnsentBytes,
-        int maxRequestBytes, int maxRequests, Duration receiveTimeout) {}
+        int maxRequestBytes, int maxRequests, Duration receiveTimeout, Duration sweepInterval) {}
 
     /** Messages of one connection that wait for the event loop. */
     private static final int MAX_QUEUED_MESSAGES = 256;
@@ -45,6 +47,7 @@
     private final AtomicInteger openConnections = new AtomicInteger();
     private final AtomicInteger queuedBytes = new AtomicInteger();
     private volatile boolean isHealthy;
+    private final PauseDetector pauseDetector;
     private TcpConnection.Server listener;
 
     /**
@@ -64,6 +67,7 @@
         this.limits = limits;
         this.clock = clock;
         this.eventLoop = eventLoop;
+        pauseDetector = new PauseDetector(limits.sweepInterval, clock.get());
         connections = new ClientConnectionTable(limits.maxConnections, limits.receiveTimeout);
         requests = new RequestHandler(new NameDirectory(settings, requestClasses, tenants), limits,
             connections, log);
@@ -103,7 +107,7 @@
 
     @Override public void received(TcpConnection tcp, ByteBuffer bytes) {
         ClientConnection connection = connectionOf(tcp);
-        Duration now = clock.get();
+        Duration now = clock.get().minus(NetworkTransport.possibleReadDelay());
         if (!connection.receive(bytes, frame -> frameReceived(connection, frame, now), now)) {
             connection.close("a frame's length is out of bounds");
         }
@@ -204,8 +208,9 @@
         return openConnections.get();
     }
 
-    /** Closes connections that take too long for a message; to be called now and then. */
+    /** Closes connections that take too long for a message; to be called at the interval of the limits. */
     public void sweep(Duration now) {
+        connections.pauseEnded(now, pauseDetector.heldUp(now));
         connections.closeOverdue(now);
     }
 }
--- a/src/main/java/switchgap/server/gateway/GatewayRouter.java
+++ b/src/main/java/switchgap/server/gateway/GatewayRouter.java
@@ -101,7 +101,8 @@
         connections = new HttpClientConnection.Factory(network, config.workers().sourceAddress(),
             config.workers().maxResponseBytes());
         transports = new CoreFactory(config, policy, connections, writers);
-        loop = new EventLoop(transports, "loop-" + index, lateness::record, GatewayRouter::tickFailed);
+        loop = new EventLoop(transports, "loop-" + index, lateness::record, GatewayRouter::tickFailed,
+            network::awaitPendingReads);
         planned = transports.planned();
         admission = createAdmissionController();
         loop.post(this::createAdmissionGate);
--- a/src/main/java/switchgap/server/platform/PlatformRouter.java
+++ b/src/main/java/switchgap/server/platform/PlatformRouter.java
@@ -67,7 +67,7 @@
         loop = new EventLoop(eventLoop -> {
             transport.set(workerTransport(eventLoop, config.maxSockets()));
             return routerCore(transport.get(), config.seed());
-        }, "loop", late -> {}, this::tickFailed);
+        }, "loop", late -> {}, this::tickFailed, network::awaitPendingReads);
         workers = transport.get();
         clients = new ThriftServer(settings, settings.namedIndices("Lanes"), settings.namedIndices("Tenants"),
             clientLimits(config.maxSockets()), loop::now, loop::post, logLines);
@@ -99,7 +99,8 @@
         int bufferBytes = (int) Math.min(Integer.MAX_VALUE, heapBytes / BUFFER_HEAP_SHARE);
         return new ThriftServer.ConnectionLimits(share(maxSockets, CLIENT_CONNECTION_SHARE),
             share(maxSockets, EXCESS_CONNECTION_SHARE), bufferBytes / UNREAD_RESPONSE_SHARE, bufferBytes,
-            Math.min(settings.maxPendingRequests(), MAX_PENDING_REQUESTS), MESSAGE_TIMEOUT);
+            Math.min(settings.maxPendingRequests(), MAX_PENDING_REQUESTS), MESSAGE_TIMEOUT,
+            SWEEP_INTERVAL);
     }
 
     private static int share(int total, int share) { return Math.max(1, total / share); }
