Connections in use are never evicted; new ones wait in the backlog; time passed on is what is left

Cause: eviction looked at requests alone, and closed the newest connection where no other was idle, though its request may be read already; a command was encoded when it was decided. Class: a check made earlier than the act. Change: half a message counts as use; while all places are in use the listener leaves clients in the backlog, and looks again each 20 ms; the time that a worker gets is reckoned when its command is written, and never past the client's own deadline.

--- a/src/main/java/switchgap/net/TcpConnection.java
+++ b/src/main/java/switchgap/net/TcpConnection.java
@@ -4,11 +4,13 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.asyncqueue.WritableMessage;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -127,6 +129,24 @@
             return ((InetSocketAddress) connection.getLocalAddress()).getPort();
         }
 
+        /** Leaves further connections to the system's backlog, until {@link #resume}. Any thread. */
+        public void pause() {
+            try {
+                connection.disableIOEvent(IOEvent.SERVER_ACCEPT);
+            } catch (IOException | CancelledKeyException e) {
+                return; // it is closed, and accepts nothing anyhow
+            }
+        }
+
+        /** Accepts connections again. Any thread. */
+        public void resume() {
+            try {
+                connection.enableIOEvent(IOEvent.SERVER_ACCEPT);
+            } catch (IOException | CancelledKeyException e) {
+                return; // it is closed
+            }
+        }
+
         /** Stops accepting connections; open ones stay. */
         @Override public void close() {
             connection.closeSilently();
--- a/src/main/java/switchgap/protocol/resp/PendingExchange.java
+++ b/src/main/java/switchgap/protocol/resp/PendingExchange.java
@@ -1,5 +1,6 @@
 package switchgap.protocol.resp;
 
+import java.time.Duration;
 import switchgap.policy.api.AttemptOutcome;
 import switchgap.router.PendingRequest;
 import switchgap.router.RouterCore;
@@ -33,13 +34,18 @@
         void exchangeEnded(RouterCore core, AttemptOutcome outcome, WorkerReply reply);
     }
 
+    /** Encodes the command when it goes out: it may have waited for a connection. */
+    interface CommandEncoder {
+        /** The command's bytes; {@code remaining} is the time until its timeout. */
+        byte[] encode(Duration remaining);
+    }
+
     final WorkerEntry worker;
     /** The id or tag that its reply will bear; null where the command has no reply. */
     final String id;
     /** The request of an attempt, else null. */
     final PendingRequest request;
-    /** The encoded command. */
-    final byte[] command;
+    private final CommandEncoder encoder;
     /** Nanoseconds of the loop's clock at which it times out. */
     final long timeoutNanos;
     private final boolean allowedWhileDraining;
@@ -49,20 +55,21 @@
     private long sentNanos;
 
     private PendingExchange(WorkerEntry worker, String id, PendingRequest request,
-        boolean allowedWhileDraining, byte[] command, long timeoutNanos, CompletionListener listener) {
+        boolean allowedWhileDraining, CommandEncoder encoder, long timeoutNanos,
+        CompletionListener listener) {
         this.worker = worker;
         this.id = id;
         this.request = request;
         this.allowedWhileDraining = allowedWhileDraining;
-        this.command = command;
+        this.encoder = encoder;
         this.timeoutNanos = timeoutNanos;
         this.listener = listener;
     }
 
     /** The exchange of an attempt of a request, whose id the reply will bear. */
-    static PendingExchange ofAttempt(WorkerEntry worker, PendingRequest request, byte[] command,
+    static PendingExchange ofAttempt(WorkerEntry worker, PendingRequest request, CommandEncoder encoder,
         long timeoutNanos, CompletionListener listener) {
-        return new PendingExchange(worker, request.id, request, false, command, timeoutNanos, listener);
+        return new PendingExchange(worker, request.id, request, false, encoder, timeoutNanos, listener);
     }
 
     /**
@@ -74,7 +81,8 @@
      */
     static PendingExchange ofCommand(WorkerEntry worker, String tag, boolean allowedWhileDraining,
         byte[] command, long timeoutNanos, CompletionListener listener) {
-        return new PendingExchange(worker, tag, null, allowedWhileDraining, command, timeoutNanos, listener);
+        return new PendingExchange(worker, tag, null, allowedWhileDraining, remaining -> command,
+            timeoutNanos, listener);
     }
 
     /**
@@ -86,6 +94,11 @@
             && (request == null || request.isAwaited() && nowNanos < timeoutNanos);
     }
 
+    /** The command, to go out at this time. */
+    byte[] command(long nowNanos) {
+        return encoder.encode(Duration.ofNanos(timeoutNanos - nowNanos));
+    }
+
     State state() {
         return state;
     }
--- a/src/main/java/switchgap/protocol/resp/RespWorkerTransport.java
+++ b/src/main/java/switchgap/protocol/resp/RespWorkerTransport.java
@@ -8,6 +8,7 @@
 import switchgap.policy.api.AttemptOutcome;
 import switchgap.policy.api.LoadReport;
 import switchgap.router.Attempt;
+import switchgap.router.PendingRequest;
 import switchgap.router.Response;
 import switchgap.router.RouterCore;
 import switchgap.router.WorkerCommand;
@@ -74,11 +75,11 @@
     }
 
     @Override public void startAttempt(Attempt attempt, Duration timeout) {
-        byte[] command = RespCommand.execute(attempt.request.id,
-            requestClassNames[attempt.request.requestClass], attempt.request.function,
-            Math.max(1, timeout.toMillis()), attempt.request.body);
-        PendingExchange exchange = PendingExchange.ofAttempt(attempt.worker, attempt.request, command,
-            deadlineNanos(timeout),
+        PendingRequest request = attempt.request;
+        long timeoutNanos = Math.min(deadlineNanos(timeout), request.deadline.toNanos());
+        PendingExchange exchange = PendingExchange.ofAttempt(attempt.worker, request,
+            remaining -> RespCommand.execute(request.id, requestClassNames[request.requestClass],
+                request.function, Math.max(1, remaining.toMillis()), request.body), timeoutNanos,
             (core, outcome, reply) -> core.attemptEnded(attempt, outcome,
                 reply == null ? LoadReport.NONE : reply.loadReport(reportsConcurrency),
                 outcome == AttemptOutcome.SUCCEEDED ? Response.succeeded(0, Map.of(), reply.body()) : null));
--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -124,14 +124,19 @@
         return revokedSequenceIds.contains(sequenceId);
     }
 
-    /** Whether no request is in flight or on its way to the event loop. */
+    /** Whether no request is in flight, on its way to the event loop or half received. */
     boolean isIdle() {
-        return inFlight.isEmpty() && queuedMessages.get() == 0;
+        return inFlight.isEmpty() && queuedMessages.get() == 0 && !hasPartialMessage;
+    }
+
+    /** Whether it was opened less than a span ago and has sent no whole message. */
+    boolean isNew(Duration now, Duration span) {
+        return !hasSentMessage && now.minus(lastHandledAt).compareTo(span) < 0;
     }
 
     /** Whether anything is under way: a request, a message in part or queued, a reply that is not written. */
     boolean isBusy() {
-        return isOpen() && (!isIdle() || hasPartialMessage || connection.unsentBytes() > 0);
+        return isOpen() && (!isIdle() || connection.unsentBytes() > 0);
     }
 
     /** Whether the client has sent no message within the timeout, unlike one that has just connected. */
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
@@ -15,6 +15,9 @@
     /** A client that has sent nothing for this part of the receive timeout is evicted before all others. */
     private static final int SILENT_TIMEOUT_DIVISOR = 4;
 
+    /** A client sends its first message within this time of its connect, as a rule. */
+    private static final Duration NEW_FOR = Duration.ofMillis(50);
+
     private final Set<ClientConnection> connections = new HashSet<>();
     private final int maxConnections;
     private final Duration receiveTimeout;
@@ -27,16 +30,28 @@
         silentTimeout = receiveTimeout.dividedBy(SILENT_TIMEOUT_DIVISOR);
     }
 
-    /** Takes in a new connection; where there are too many one is closed, the new one if no other is idle. */
-    void add(ClientConnection connection, Duration now) {
-        if (!connection.isOpen()) {
-            return; // closed before the event loop heard of it
+    /** Takes in a new connection. */
+    void add(ClientConnection connection) {
+        if (connection.isOpen()) { // or it was closed before the event loop heard of it
+            connections.add(connection);
         }
-        connections.add(connection);
-        if (connections.size() > maxConnections) {
+    }
+
+    /**
+     * Evicts connections of no use while there are too many.
+     *
+     * @return false where there are still too many, as all others are in use
+     */
+    boolean evictExcess(Duration now) {
+        for (int excess = connections.size() - maxConnections; excess > 0; excess--) {
             ClientConnection evicted = evictionCandidate(now);
-            (evicted == null ? connection : evicted).close("the place is needed");
+            if (evicted == null) {
+                return false;
+            }
+            evicted.close("the place is needed");
+            connections.remove(evicted);
         }
+        return true;
     }
 
     void remove(ClientConnection connection) {
@@ -78,12 +93,13 @@
     }
 
     /**
-     * The idle connection that is silent, or else has been of no use for longest; null where none is idle.
+     * The connection that is silent, or else has been of no use for longest; null where all are in use. One
+     * that has just been opened has a first message on its way.
      */
     private ClientConnection evictionCandidate(Duration now) {
         ClientConnection candidate = null;
         for (ClientConnection connection : connections) {
-            boolean isEvictable = connection.isOpen() && connection.isIdle();
+            boolean isEvictable = connection.isOpen() && connection.isIdle() && !connection.isNew(now, NEW_FOR);
             if (isEvictable && (candidate == null || goesBefore(connection, candidate, now))) {
                 candidate = connection;
             }
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -38,6 +38,8 @@
     private static final int MAX_QUEUED_MESSAGES = 256;
     /** Connections that wait to be accepted. */
     private static final int ACCEPT_BACKLOG = 512;
+    /** Between looks for connections that may be evicted, while there are too many. */
+    private static final Duration EVICTION_INTERVAL = Duration.ofMillis(20);
 
     private final ConnectionLimits limits;
     private final Supplier<Duration> clock;
@@ -46,9 +48,14 @@
     private final RequestHandler requests;
     private final AtomicInteger openConnections = new AtomicInteger();
     private final AtomicInteger queuedBytes = new AtomicInteger();
+    private final Object acceptLock = new Object();
+    /** Guarded by the lock, as connections open and close on several threads. */
+    private boolean acceptPaused;
+    /** Whether a further look for connections to evict is scheduled; event loop only. */
+    private boolean evictionScheduled;
     private volatile boolean isHealthy;
     private final PauseDetector pauseDetector;
-    private TcpConnection.Server listener;
+    private volatile TcpConnection.Server listener;
 
     /**
      * A server that does not listen yet.
@@ -98,11 +105,12 @@
     @Override public void opened(TcpConnection tcp) {
         ClientConnection connection = new ClientConnection(tcp, clock.get(), limits.maxUnsentBytes);
         tcp.attachment = connection;
-        if (openConnections.incrementAndGet() > limits.maxConnections + limits.maxExcessConnections) {
-            connection.close("too many connections");
-        } else {
-            eventLoop.accept(core -> connections.add(connection, core.now()));
-        }
+        openConnections.incrementAndGet();
+        updateAccepting();
+        eventLoop.accept(core -> {
+            connections.add(connection);
+            evictExcess(core);
+        });
     }
 
     @Override public void received(TcpConnection tcp, ByteBuffer bytes) {
@@ -115,10 +123,29 @@
 
     @Override public void closed(TcpConnection tcp, String reason) {
         openConnections.decrementAndGet();
+        updateAccepting();
         ClientConnection connection = connectionOf(tcp);
         eventLoop.accept(core -> requests.connectionClosed(core, connection, reason));
     }
 
+    /**
+     * Accepts while there is room. A client past the bound waits in the system's backlog: a connection that
+     * is accepted and closed again may hold a request already.
+     */
+    private void updateAccepting() {
+        synchronized (acceptLock) {
+            boolean hasRoom = openConnections.get() < limits.maxConnections + limits.maxExcessConnections;
+            if (hasRoom == acceptPaused && listener != null) {
+                acceptPaused = !hasRoom;
+                if (hasRoom) {
+                    listener.resume();
+                } else {
+                    listener.pause();
+                }
+            }
+        }
+    }
+
     private static ClientConnection connectionOf(TcpConnection tcp) {
         return (ClientConnection) tcp.attachment;
     }
@@ -180,6 +207,18 @@
 
     // ------------------------------------------------------------------ on the event loop
 
+    /** Evicts what may go; where that is not enough, looks again soon. */
+    private void evictExcess(RouterCore core) {
+        boolean enough = connections.evictExcess(core.now());
+        if (!enough && !evictionScheduled) {
+            evictionScheduled = true;
+            core.schedule(core.now().plus(EVICTION_INTERVAL), () -> {
+                evictionScheduled = false;
+                evictExcess(core);
+            });
+        }
+    }
+
     /**
      * Connections on which anything is under way: a request, a message in part or queued, a reply that is not
      * written; those that the event loop has not heard of yet count too.
