A worker's stated start counts only as far as it can be, whatever a wall clock was set to

Class: an absolute time of one machine compared with another's. Change: no worker starts in the future; one that was in none of the first lists is no older than this router; the same process keeps its start in each version (EndpointTable, for platform and gateway alike). Left: a clock that is ahead before a router's start makes late starters of its first list look old; nothing in the configuration tells the two apart (docs/platform.md, question).

--- a/src/main/java/switchgap/router/EndpointTable.java
+++ b/src/main/java/switchgap/router/EndpointTable.java
@@ -1,5 +1,6 @@
 package switchgap.router;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,6 +20,8 @@
     private final Map<String, WorkerEntry> byName = new HashMap<>();
     private final List<WorkerEntry> byIndex = new ArrayList<>();
     private final List<Integer> freeIndices = new ArrayList<>();
+    /** Time of the first list; a configuration may give it in several parts, all at one time. */
+    private Duration firstListAt;
 
     EndpointTable(WorkerTransport transport) {
         this.transport = transport;
@@ -34,8 +37,9 @@
         return current != null && current.name.equals(worker.name);
     }
 
-    /** Takes in a version of the list, or its changes, and tells the policy. */
-    void update(boolean complete, List<EndpointUpdate> updates, PolicyEvents policy) {
+    /** Takes in a version of the list, or its changes, at a time since the router's start; tells the policy. */
+    void update(boolean complete, List<EndpointUpdate> updates, Duration now, PolicyEvents policy) {
+        firstListAt = firstListAt == null ? now : firstListAt;
         policy.endpointListStarted(complete);
         Set<String> named = new HashSet<>();
         for (EndpointUpdate update : updates) {
@@ -45,9 +49,10 @@
             WorkerEntry worker = entryFor(update);
             named.add(update.name());
             accept(worker, update.state() == WorkerState.READY);
+            updateStart(worker, update.startedAt(), now);
             policy.endpointListed(
                 new EndpointEntry(worker.index, NameIndex.hash(update.name()), update.state(),
-                    update.zone(), update.cell(), update.kind(), update.capacity(), update.startedAt()));
+                    update.zone(), update.cell(), update.kind(), update.capacity(), worker.startedAt));
         }
         if (complete) {
             byIndex.stream().filter(worker -> worker != null && !named.contains(worker.name)).forEach(
@@ -56,6 +61,21 @@
         policy.endpointListEnded();
     }
 
+    /**
+     * Takes in a stated start, as far as it can be: wall clocks step, here and where it is stated. No process
+     * starts in the future; one that was in none of the first lists has not been there since before this
+     * router, and is cold as of now.
+     */
+    private void updateStart(WorkerEntry worker, Duration stated, Duration now) {
+        if (stated == null || stated.equals(worker.statedStart)) {
+            return;
+        }
+        boolean isFirstList = now.equals(firstListAt);
+        boolean isPossible = stated.compareTo(now) <= 0 && (isFirstList || !stated.isNegative());
+        worker.statedStart = stated;
+        worker.startedAt = isPossible ? stated : now;
+    }
+
     /**
      * A worker with another address is another process: whatever listens at the old one is not this worker.
      */
--- a/src/main/java/switchgap/router/RouterCore.java
+++ b/src/main/java/switchgap/router/RouterCore.java
@@ -200,7 +200,7 @@
 
     /** A version of the endpoint list came, complete or as its changes. */
     public void endpointListReceived(boolean complete, List<EndpointUpdate> updates) {
-        endpoints.update(complete, updates, policyEvents);
+        endpoints.update(complete, updates, now, policyEvents);
     }
 
     /** A poll for the endpoint list failed; the last one stays in force. */
--- a/src/main/java/switchgap/router/WorkerEntry.java
+++ b/src/main/java/switchgap/router/WorkerEntry.java
@@ -1,5 +1,7 @@
 package switchgap.router;
 
+import java.time.Duration;
+
 /** A worker of the endpoint list, with its address. */
 public final class WorkerEntry {
     /** The index of a worker that the policy does not know any more. */
@@ -15,6 +17,9 @@
     public volatile boolean accepting = true;
     /** State that the transport keeps with it; the core does not read it. */
     public volatile Object attachment;
+    /** Start of its process as the list states it, and as it counts; null where it is not told. */
+    Duration statedStart;
+    Duration startedAt;
     /** What the policy calls it, or {@link #FORGOTTEN}. */
     int index;
 
