The wall clock is read in one place; HTTP connections idle by monotonic time

Cause: wall-clock reads stood in six classes, and Grizzly's DelayedExecutor measures idle keep-alive connections by System.currentTimeMillis: a step forward closed them all, a step back kept them. Class: a library's timer. Looked at and sound: the planner's epochs begin at the wall clock but are compared for equality alone; a deadline that a gateway's client states as Unix time may only shorten its timeout.

--- a/src/main/java/switchgap/emulator/RealTimeScheduler.java
+++ b/src/main/java/switchgap/emulator/RealTimeScheduler.java
@@ -4,13 +4,14 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import switchgap.net.WallClock;
 
 /** Real time on one thread; wall time is read once and then advances monotonically. */
 public final class RealTimeScheduler implements Scheduler, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(RealTimeScheduler.class);
     private static final long NANOS_PER_MICRO = 1000;
     private static final long MICROS_PER_MILLI = 1000;
-    private final long startWallMicros = System.currentTimeMillis() * MICROS_PER_MILLI;
+    private final long startWallMicros = WallClock.unixMillis() * MICROS_PER_MILLI;
     private final long startNanos = System.nanoTime();
     private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1,
         RealTimeScheduler::newThread);
--- a/src/main/java/switchgap/net/HttpServer.java
+++ b/src/main/java/switchgap/net/HttpServer.java
@@ -15,6 +15,7 @@
 import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.utils.DelayedExecutor;
 
 /**
  * An HTTP/1.1 server that receives requests whole, within {@link ConnectionLimits}, and hands each to a
@@ -31,6 +32,8 @@
         default void clientLeft(HttpExchange exchange) {}
     }
 
+    /** Grizzly measures idle connections by the wall clock (DelayedExecutor), so they are swept here instead. */
+    private static final DelayedExecutor NO_IDLE_TIMERS = null;
     private static final String DEFAULT_CONTENT_TYPE = "text/plain";
     private static final int UNLIMITED_REQUESTS = -1;
     private static final int MAX_REQUEST_HEADERS = 100;
@@ -67,7 +70,7 @@
         FilterChainBuilder filters = FilterChainBuilder.stateless();
         filters.add(new SocketFilter());
         filters.add(new RequestStartFilter(states));
-        filters.add(httpFilter());
+        filters.add(httpFilter(limits));
         filters.add(new RequestAssemblyFilter(states, openConnections, limits, handler));
         TCPNIOBindingHandler binding = TCPNIOBindingHandler.builder(transport.transport).processor(
             filters.build()).build();
@@ -82,12 +85,11 @@
     }
 
     @SuppressWarnings("deprecation") // the constructors with bounds have no successor in this version
-    private HttpServerFilter httpFilter() {
+    private static HttpServerFilter httpFilter(ConnectionLimits limits) {
         KeepAlive keepAlive = new KeepAlive();
-        keepAlive.setIdleTimeoutInSeconds((int) limits.idleTimeout().toSeconds());
         keepAlive.setMaxRequestsCount(UNLIMITED_REQUESTS);
         return new HttpServerFilter(false, limits.maxHeaderBytes(), DEFAULT_CONTENT_TYPE, keepAlive,
-            transport.idleTimers(), MAX_REQUEST_HEADERS, MAX_RESPONSE_HEADERS);
+            NO_IDLE_TIMERS, MAX_REQUEST_HEADERS, MAX_RESPONSE_HEADERS);
     }
 
     /** Stops accepting connections; open ones stay. */
--- a/src/main/java/switchgap/net/NetworkTransport.java
+++ b/src/main/java/switchgap/net/NetworkTransport.java
@@ -6,11 +6,9 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
-import org.glassfish.grizzly.utils.DelayedExecutor;
-import org.glassfish.grizzly.utils.IdleTimeoutFilter;
 
 /**
- * One Grizzly transport with its selector threads and its idle timers, shared by the servers and the client
+ * One Grizzly transport with its selector threads, shared by the servers and the client
  * connections of a process. Every callback of a connection runs on its selector thread.
  */
 public final class NetworkTransport implements AutoCloseable {
@@ -24,7 +22,6 @@
 
     final TCPNIOTransport transport;
     private final SelectorRounds rounds = new SelectorRounds();
-    private DelayedExecutor idleTimers;
 
     /**
      * Starts the selector threads, as daemons.
@@ -50,15 +47,6 @@
         transport.start();
     }
 
-    /** The idle timers of HTTP servers; their threads start only when a server asks for them. */
-    synchronized DelayedExecutor idleTimers() {
-        if (idleTimers == null) {
-            idleTimers = IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
-            idleTimers.start();
-        }
-        return idleTimers;
-    }
-
     /**
      * Waits until what stands in the sockets now has been read, for a bounded time: after a pause of the
      * process nobody is judged silent or overdue before. Not for selector threads.
@@ -81,9 +69,6 @@
 
     /** Closes all connections and ends the threads. */
     @Override public synchronized void close() {
-        if (idleTimers != null) {
-            idleTimers.destroy();
-        }
         try {
             transport.shutdownNow();
         } catch (IOException e) {
--- a/src/main/java/switchgap/net/ServerConnectionState.java
+++ b/src/main/java/switchgap/net/ServerConnectionState.java
@@ -13,12 +13,12 @@
     /** In place of a time, when no request is being received. */
     private static final long NONE = 0;
 
-    private final long openedNanos = System.nanoTime();
+    /** When it opened or its last exchange ended. */
+    private volatile long idleSinceNanos = System.nanoTime();
     private byte[] body = NO_BYTES;
     private int bodyBytes;
     private boolean discardingBody;
     private volatile long requestStartedNanos = NONE;
-    private volatile boolean usedForRequest;
     private volatile HttpExchange pendingExchange;
 
     /** Takes note that bytes arrived: outside an exchange they begin a request. */
@@ -28,13 +28,13 @@
         }
     }
 
-    /** Whether the request that is being received, or the first one, has taken too long to come. */
+    /** Whether the request that is being received, or the next one, has taken too long to come. */
     boolean isOverdue(Duration now, ConnectionLimits limits, PauseHistory pauses) {
         long startedNanos = requestStartedNanos;
         if (startedNanos != NONE) {
             return exceeds(limits.receiveTimeout(), startedNanos, now, pauses);
         }
-        return !usedForRequest && exceeds(limits.idleTimeout(), openedNanos, now, pauses);
+        return pendingExchange == null && exceeds(limits.idleTimeout(), idleSinceNanos, now, pauses);
     }
 
     private static boolean exceeds(Duration timeout, long startedNanos, Duration now, PauseHistory pauses) {
@@ -84,11 +84,11 @@
     /** Takes note that a request is whole and waits for its response. */
     void exchangeStarted(HttpExchange exchange) {
         pendingExchange = exchange;
-        usedForRequest = true;
         requestStartedNanos = NONE;
     }
 
     void exchangeEnded() {
+        idleSinceNanos = System.nanoTime();
         pendingExchange = null;
     }
 
--- a/src/main/java/switchgap/planner/link/PlannerServer.java
+++ b/src/main/java/switchgap/planner/link/PlannerServer.java
@@ -10,6 +10,7 @@
 import switchgap.net.NetworkTransport;
 import switchgap.net.TcpConnection;
 import switchgap.net.TimerThread;
+import switchgap.net.WallClock;
 import switchgap.planner.LoadBacklog;
 import switchgap.planner.LoadPlan;
 
@@ -61,7 +62,7 @@
     private final TcpConnection.Server server;
     private final ScheduledFuture<?> silenceCheck;
     /** Guarded by this. Begins past the epochs of any process before this one. */
-    private long lastEpoch = System.currentTimeMillis() * EPOCHS_PER_MILLISECOND;
+    private long lastEpoch = WallClock.unixMillis() * EPOCHS_PER_MILLISECOND;
 
     /**
      * Listens for the planner of the router with this index; port 0 takes any.
--- a/src/main/java/switchgap/protocol/invoke/InvokeRequest.java
+++ b/src/main/java/switchgap/protocol/invoke/InvokeRequest.java
@@ -5,6 +5,7 @@
 import switchgap.config.YamlRouterSettings.FunctionSettings;
 import switchgap.config.YamlRouterSettings.RequestClassSettings;
 import switchgap.net.HttpExchange;
+import switchgap.net.WallClock;
 import switchgap.policy.api.Idempotency;
 import switchgap.router.PendingRequest;
 import switchgap.router.ResponseListener;
@@ -96,7 +97,7 @@
         if (deadlineMillis == null) {
             return timeout;
         }
-        Duration remaining = Duration.ofMillis(deadlineMillis - System.currentTimeMillis());
+        Duration remaining = Duration.ofMillis(deadlineMillis - WallClock.unixMillis());
         if (remaining.isNegative() || remaining.isZero()) {
             throw new InvalidRequestException(ProblemType.DEADLINE_EXCEEDED,
                 "the deadline has passed already");
--- a/src/main/java/switchgap/server/gateway/GatewayRouter.java
+++ b/src/main/java/switchgap/server/gateway/GatewayRouter.java
@@ -20,6 +20,7 @@
 import switchgap.net.KeyedWriters;
 import switchgap.net.NetworkTransport;
 import switchgap.net.TimerThread;
+import switchgap.net.WallClock;
 import switchgap.planner.LoadPlan;
 import switchgap.planner.link.PlannerServer;
 import switchgap.policy.RoutingPolicy;
@@ -96,7 +97,7 @@
         int threads = config.listener().selectorThreads();
         network = new NetworkTransport(threads, "router-" + index);
         JvmWarmup.run(settings, network);
-        startedAtMillis = System.currentTimeMillis();
+        startedAtMillis = WallClock.unixMillis();
         writers = new KeyedWriters(threads, "carrier-" + index);
         connections = new HttpClientConnection.Factory(network, config.workers().sourceAddress(),
             config.workers().maxResponseBytes());
--- a/src/main/java/switchgap/server/platform/RateLimitedLog.java
+++ b/src/main/java/switchgap/server/platform/RateLimitedLog.java
@@ -1,6 +1,6 @@
 package switchgap.server.platform;
 
-import java.time.Instant;
+import switchgap.net.WallClock;
 
 /**
  * Lines on standard error, a bounded number in each window: what others send must not fill the log. Any
@@ -20,7 +20,7 @@
         long now = System.nanoTime();
         if (now - windowStartNanos >= WINDOW_NANOS) { startWindow(now); }
         if (lines < MAX_LINES_PER_WINDOW) {
-            System.err.println(Instant.now() + " switchgap: " + bounded(text));
+            System.err.println(WallClock.now() + " switchgap: " + bounded(text));
         } else {
             droppedLines++;
         }
--- a/src/main/java/switchgap/server/platform/ServeCommand.java
+++ b/src/main/java/switchgap/server/platform/ServeCommand.java
@@ -5,6 +5,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import switchgap.config.InvalidConfigException;
+import switchgap.net.WallClock;
 
 /**
  * The command {@code serve}: a router on the platform until SIGTERM. Exit codes: 0 stopped, 1 failed, 2
@@ -51,7 +52,7 @@
     private static void serve(RateLimitedLog log)
         throws IOException, ReflectiveOperationException, InterruptedException {
         SignalHandlers signals = new SignalHandlers();
-        PlatformConfig config = PlatformConfig.read(System.getenv(), System.currentTimeMillis());
+        PlatformConfig config = PlatformConfig.read(System.getenv(), WallClock.unixMillis());
         PlatformRouter router = new PlatformRouter(config, log);
         signals.onHangup(() -> followConfiguredFeed(router, log));
         signals.awaitTermination();
--- a/src/test/java/switchgap/LayersTest.java
+++ b/src/test/java/switchgap/LayersTest.java
@@ -7,9 +7,13 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZonedDateTime;
 import org.junit.jupiter.api.Test;
 import switchgap.config.JsonDocument;
 import switchgap.config.PropertyRouterSettings;
+import switchgap.net.WallClock;
 
 /** Packages depend one way; what decides and what holds calls is free of sockets, threads and clock. */
 class LayersTest {
@@ -93,4 +97,14 @@
                         "currentTimeMillis").orShould().dependOnClassesThat().areAssignableTo(
                             Thread.class).check(all);
     }
+
+    /** Spans are of monotonic time: a wall clock may be stepped at any moment. */
+    @Test void theWallClockIsReadInOnePlace() {
+        noClasses().that().doNotHaveFullyQualifiedName(WallClock.class.getName()).should().callMethod(
+            System.class, "currentTimeMillis").orShould().callMethod(Instant.class, "now").orShould()
+            .dependOnClassesThat().haveFullyQualifiedName("java.time.Clock").orShould().dependOnClassesThat()
+            .haveFullyQualifiedName("java.util.Date").orShould().dependOnClassesThat()
+            .resideInAPackage("java.time.chrono").orShould().callMethod(LocalDateTime.class, "now").orShould()
+            .callMethod(ZonedDateTime.class, "now").check(all);
+    }
 }
--- a/src/test/java/switchgap/net/HttpServerTest.java
+++ b/src/test/java/switchgap/net/HttpServerTest.java
@@ -235,4 +235,16 @@
         }
         assertThat(received).isEmpty();
     }
+
+    @Test void aConnectionThatStaysIdleAfterARequestEndsAfterItsTimeout() throws Exception {
+        try (Socket client = connect()) {
+            send(client, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+            nextExchange().respond(200, Map.of(), ascii("x"));
+            long startedNanos = System.nanoTime();
+            client.getInputStream().read();
+            assertEnds(client);
+            assertThat(System.nanoTime() - startedNanos).isGreaterThan(
+                LIMITS.idleTimeout().minusMillis(100).toNanos());
+        }
+    }
 }
