--- a/src/test/java/switchgap/protocol/thrift/ThriftCodecTest.java
+++ b/src/test/java/switchgap/protocol/thrift/ThriftCodecTest.java
@@ -189,6 +189,13 @@
         assertThat(requestWith("effort", null).durationHint).isNull();
     }
 
+    /** Usual clients round: a hint of next to no work reads 0.0, and is a hint all the same. */
+    @ParameterizedTest @CsvSource({"effort,0", "effort,0.0", "extras,load_ms:0.0;memory_mb:100",
+        "extras,memory_mb:0;lanes:2"})
+    void aFigureThatWasRoundedToZeroIsNoMistake(String field, String value) throws Exception {
+        assertThat(requestWith(field, value)).isNotNull();
+    }
+
     @ParameterizedTest
     @CsvSource(nullValues = "null", value = {"service,null", "service,other", "ref,null", "ref,12",
         "ref,9b1f03aa5c7e2d4g", "allow,null", "allow,0", "allow,-5", "allow,NaN", "allow,1e300", "allow,2001",
--- a/src/test/java/switchgap/server/platform/ClientEvictionTest.java
+++ b/src/test/java/switchgap/server/platform/ClientEvictionTest.java
@@ -73,4 +73,18 @@
             clients.get(i).close();
         }
     }
+
+    /** Its answer is on its way and its next request may be, too: others go, or the new ones wait. */
+    @Test void aClientThatHasJustBeenAnsweredKeepsItsConnection() throws Exception {
+        serve(48, new RespTestServer(RespTestServer::serveAll)); // sixteen places
+        List<ThriftTestClient> others = new ArrayList<>();
+        for (int i = 0; i < 15; i++) { others.add(client()); }
+        Thread.sleep(100); // these are of no use
+        ThriftTestClient usual = client();
+        for (int number = 1; number <= 10; number++) {
+            usual.ask(number, ThriftTestClient.fields("again", id(), 900, FUNCTION), "x");
+            assertThat(usual.reply()).as("request %d", number).isNotNull();
+            for (int i = 0; i < 30; i++) { client(); }
+        }
+    }
 }
