Hints of 0.0 are no mistake; a client just answered keeps its connection

Class: a bound that is stricter than the usual client; an age measured from the wrong end. Change: figures of 0 are taken (the time a client waits must still be above 0); an eviction takes a connection only after 50 ms without a message or a reply on it, and one with unsent replies only after the receive timeout.

--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import switchgap.net.FrameDecoder;
 import switchgap.net.PauseHistory;
 import switchgap.net.TcpConnection;
@@ -41,13 +42,16 @@
      */
     private volatile Duration receivingSince;
     private volatile boolean hasSentMessage;
-    private Duration lastHandledAt;
+    private final Supplier<Duration> clock;
+    /** When it was opened, its last message was handled or its last reply was given to the socket. */
+    private volatile Duration lastActiveAt;
 
-    ClientConnection(TcpConnection connection, Duration now, int maxUnsentBytes) {
+    ClientConnection(TcpConnection connection, Supplier<Duration> clock, int maxUnsentBytes) {
         this.connection = connection;
         this.maxUnsentBytes = maxUnsentBytes;
-        receivingSince = now;
-        lastHandledAt = now;
+        this.clock = clock;
+        lastActiveAt = clock.get();
+        receivingSince = lastActiveAt;
     }
 
     boolean isOpen() {
@@ -64,6 +68,7 @@
             connection.close("reads no answers");
         } else {
             connection.send(reply);
+            lastActiveAt = clock.get();
         }
     }
 
@@ -111,7 +116,7 @@
 
     /** The event loop handles a message at this time. */
     void messageHandledAt(Duration now) {
-        lastHandledAt = now;
+        lastActiveAt = now;
     }
 
     /** The event loop handles the revoke itself. */
@@ -129,19 +134,24 @@
         return inFlight.isEmpty() && queuedMessages.get() == 0 && !hasPartialMessage;
     }
 
-    /** Whether it was opened less than a span ago and has sent no whole message. */
-    boolean isNew(Duration now, Duration span) {
-        return !hasSentMessage && now.minus(lastHandledAt).compareTo(span) < 0;
-    }
-
     /** Whether anything is under way: a request, a message in part or queued, a reply that is not written. */
     boolean isBusy() {
-        return isOpen() && (!isIdle() || connection.unsentBytes() > 0);
+        return isOpen() && (!isIdle() || hasUnsentReplies());
     }
 
     /** Whether the client has sent no message within the timeout, unlike one that has just connected. */
     boolean isSilent(Duration now, Duration timeout) {
-        return !hasSentMessage && now.minus(lastHandledAt).compareTo(timeout) > 0;
+        return !hasSentMessage && isQuiet(now, timeout);
+    }
+
+    /** Whether nothing was handled or sent on it for longer than a span. */
+    boolean isQuiet(Duration now, Duration span) {
+        return now.minus(lastActiveAt).compareTo(span) > 0;
+    }
+
+    /** Whether its client has not taken all replies. */
+    boolean hasUnsentReplies() {
+        return connection.unsentBytes() > 0;
     }
 
     /** Whether a message is due for longer than the timeout, pauses of the process left out. */
@@ -150,8 +160,8 @@
         return since != null && pauses.runningTime(since, now).compareTo(timeout) > 0;
     }
 
-    /** When the event loop handled its last message, or the time of the connect. */
-    Duration lastHandledAt() {
-        return lastHandledAt;
+    /** When it was opened, its last message was handled or its last reply was sent. */
+    Duration lastActiveAt() {
+        return lastActiveAt;
     }
 }
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
@@ -15,8 +15,11 @@
     /** A client that has sent nothing for this part of the receive timeout is evicted before all others. */
     private static final int SILENT_TIMEOUT_DIVISOR = 4;
 
-    /** A client sends its first message within this time of its connect, as a rule. */
-    private static final Duration NEW_FOR = Duration.ofMillis(50);
+    /**
+     * One on which something was going on less than this ago is in use: a reply may be on its way to the
+     * client, or a message from it. The platform takes so long for a close and a request to cross.
+     */
+    private static final Duration QUIET_FOR = Duration.ofMillis(50);
 
     private final Set<ClientConnection> connections = new HashSet<>();
     private final int maxConnections;
@@ -93,25 +96,28 @@
     }
 
     /**
-     * The connection that is silent, or else has been of no use for longest; null where all are in use. One
-     * that has just been opened has a first message on its way.
+     * The connection that is silent, or else has been of no use for longest; null where all are in use.
      */
     private ClientConnection evictionCandidate(Duration now) {
         ClientConnection candidate = null;
         for (ClientConnection connection : connections) {
-            boolean isEvictable = connection.isOpen() && connection.isIdle() && !connection.isNew(now, NEW_FOR);
-            if (isEvictable && (candidate == null || goesBefore(connection, candidate, now))) {
+            if (isEvictable(connection, now) && (candidate == null || goesBefore(connection, candidate, now))) {
                 candidate = connection;
             }
         }
         return candidate;
     }
 
+    private boolean isEvictable(ClientConnection connection, Duration now) {
+        Duration quiet = connection.hasUnsentReplies() ? receiveTimeout : QUIET_FOR;
+        return connection.isOpen() && connection.isIdle() && connection.isQuiet(now, quiet);
+    }
+
     private boolean goesBefore(ClientConnection first, ClientConnection second, Duration now) {
         boolean isFirstSilent = first.isSilent(now, silentTimeout);
         if (isFirstSilent != second.isSilent(now, silentTimeout)) {
             return isFirstSilent;
         }
-        return first.lastHandledAt().compareTo(second.lastHandledAt()) < 0;
+        return first.lastActiveAt().compareTo(second.lastActiveAt()) < 0;
     }
 }
--- a/src/main/java/switchgap/protocol/thrift/SubmitRequestDecoder.java
+++ b/src/main/java/switchgap/protocol/thrift/SubmitRequestDecoder.java
@@ -74,7 +74,12 @@
         throws InvalidRequestException {
         long statedNanos = names.settings().requestTimeout(requestClass).toNanos();
         double maxMillis = MAX_TIMEOUTS * MILLIS_PER_NANO * statedNanos;
-        return DecimalFigure.parseMillis(message.fields().get(WireNames.ALLOW), WireNames.ALLOW, maxMillis);
+        Duration timeout = DecimalFigure.parseMillis(message.fields().get(WireNames.ALLOW), WireNames.ALLOW,
+            maxMillis);
+        if (timeout.isZero()) {
+            throw new InvalidRequestException(WireNames.ALLOW);
+        }
+        return timeout;
     }
 
     private static Duration durationHint(ThriftMessage message) throws InvalidRequestException {
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -103,7 +103,7 @@
     // ------------------------------------------------------------------ on a selector thread
 
     @Override public void opened(TcpConnection tcp) {
-        ClientConnection connection = new ClientConnection(tcp, clock.get(), limits.maxUnsentBytes);
+        ClientConnection connection = new ClientConnection(tcp, clock, limits.maxUnsentBytes);
         tcp.attachment = connection;
         openConnections.incrementAndGet();
         updateAccepting();
