What waited to be accepted is as old as that; the soak judges accept outages

Cause: a connection that is accepted late brings requests that stood in the backlog, and these counted from the read. Class: a span that begins before this side can see it. Change: AcceptHoldUp knows since when nothing was accepted (failures, pauses of the listener, a selector that was held up); the first message of a connection that is accepted then is reckoned from there. The soak leaves the time in which accepts fail out of lateness, as no router can read then.

--- a/src/main/java/switchgap/cli/RootCommand.java
+++ b/src/main/java/switchgap/cli/RootCommand.java
@@ -9,7 +9,8 @@
     description = "A gateway for functions that workers load on demand.", //
     subcommands = {
         RouterCommand.class, PlannerCommand.class, StatusCommand.class, InvokeCommand.class,
-        LevelsCommand.class, EmulatorCommand.class, ScenarioCommand.class, DemoCommand.class, SoakCommand.class,
+        LevelsCommand.class, EmulatorCommand.class, ScenarioCommand.class, DemoCommand.class,
+        SoakCommand.class,
         LabCommand.class, LoadCommand.class, ExperimentCommand.class, ServeCommand.class,
         SimulatorHostCommand.class}) //
 final class RootCommand {
--- a/src/main/java/switchgap/net/NetworkTransport.java
+++ b/src/main/java/switchgap/net/NetworkTransport.java
@@ -59,14 +59,6 @@
         }
     }
 
-    /**
-     * How long bytes that are being handed on may have stood in their socket, because the process was held
-     * up; zero as a rule. For selector threads.
-     */
-    public static Duration possibleReadDelay() {
-        return SelectorRounds.possibleDelay();
-    }
-
     /** Closes all connections and ends the threads. */
     @Override public synchronized void close() {
         try {
--- a/src/main/java/switchgap/net/SelectorThreadStrategy.java
+++ b/src/main/java/switchgap/net/SelectorThreadStrategy.java
@@ -1,6 +1,7 @@
 package switchgap.net;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.Connection;
@@ -19,6 +20,9 @@
 @SuppressWarnings("rawtypes") final class SelectorThreadStrategy implements IOStrategy {
     private static final long ACCEPT_RETRY_DELAY_MILLIS = 20;
 
+    /** How long the client that a selector thread accepts just now may have waited. */
+    private static final ThreadLocal<Duration> ACCEPT_DELAY = ThreadLocal.withInitial(() -> Duration.ZERO);
+
     private final IOStrategy sameThread = SameThreadIOStrategy.getInstance();
 
     @Override public boolean executeIoEvent(Connection connection, IOEvent event) throws IOException {
@@ -35,10 +39,15 @@
     }
 
     private static void accept(TCPNIOServerConnection listener) throws IOException {
+        AcceptHoldUp holdUp = AcceptHoldUp.of(listener);
         try {
+            holdUp.selectorHeldUp(SelectorRounds.possibleDelay());
+            ACCEPT_DELAY.set(holdUp.possibleDelay());
             listener.onAccept();
+            holdUp.end();
         } catch (IOException e) {
             if (listener.isOpen()) {
+                holdUp.begin();
                 listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
                 TimerThread.EXECUTOR.schedule(() -> acceptAgain(listener), ACCEPT_RETRY_DELAY_MILLIS,
                     TimeUnit.MILLISECONDS);
@@ -46,6 +55,11 @@
         }
     }
 
+    /** How long the client that this thread accepts may have waited for that. */
+    static Duration acceptDelay() {
+        return ACCEPT_DELAY.get();
+    }
+
     private static Void acceptAgain(TCPNIOServerConnection listener) throws IOException {
         listener.enableIOEvent(IOEvent.SERVER_ACCEPT);
         return null;
--- a/src/main/java/switchgap/net/TcpConnection.java
+++ b/src/main/java/switchgap/net/TcpConnection.java
@@ -35,17 +35,41 @@
 
     private final Connection<?> connection;
     private final Listener listener;
+    private final Duration acceptDelay;
+    private boolean hasRead;
     private final AtomicBoolean closed = new AtomicBoolean();
     private final AtomicInteger unsentBytes = new AtomicInteger();
     private final AtomicInteger unsentWrites = new AtomicInteger();
     /** Whatever the listener keeps for this connection. */
     public volatile Object attachment;
 
-    TcpConnection(Connection<?> connection, Listener listener) {
+    /**
+     * A connection that is open.
+     *
+     * @param acceptDelay  how long its client may have waited to be accepted
+     */
+    TcpConnection(Connection<?> connection, Listener listener, Duration acceptDelay) {
         this.connection = connection;
+        this.acceptDelay = acceptDelay;
         this.listener = listener;
     }
 
+    /**
+     * How long the bytes that are being handed on may have waited, because the process was held up or did not
+     * accept; zero as a rule. For the listener, while bytes are handed on.
+     */
+    public Duration possibleDelay() {
+        Duration readDelay = SelectorRounds.possibleDelay();
+        boolean waitedForAccept = !hasRead && acceptDelay.compareTo(readDelay) > 0;
+        return waitedForAccept ? acceptDelay : readDelay;
+    }
+
+    /** Hands on bytes that were read. On the selector thread. */
+    void received(ByteBuffer bytes) {
+        listener.received(this, bytes);
+        hasRead = true;
+    }
+
     /** Whether neither side has closed the connection. */
     public boolean isOpen() {
         return !closed.get() && connection.isOpen();
@@ -131,6 +155,7 @@
 
         /** Leaves further connections to the system's backlog, until {@link #resume}. Any thread. */
         public void pause() {
+            AcceptHoldUp.of(connection).begin();
             try {
                 connection.disableIOEvent(IOEvent.SERVER_ACCEPT);
             } catch (IOException | CancelledKeyException e) {
@@ -140,6 +165,7 @@
 
         /** Accepts connections again. Any thread. */
         public void resume() {
+            AcceptHoldUp.of(connection).end();
             try {
                 connection.enableIOEvent(IOEvent.SERVER_ACCEPT);
             } catch (IOException | CancelledKeyException e) {
--- a/src/main/java/switchgap/net/TcpConnectionFilter.java
+++ b/src/main/java/switchgap/net/TcpConnectionFilter.java
@@ -1,5 +1,6 @@
 package switchgap.net;
 
+import java.time.Duration;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -24,15 +25,15 @@
     }
 
     @Override public NextAction handleAccept(FilterChainContext context) {
-        return open(context);
+        return open(context, SelectorThreadStrategy.acceptDelay());
     }
 
     @Override public NextAction handleConnect(FilterChainContext context) {
-        return open(context);
+        return open(context, Duration.ZERO);
     }
 
-    private NextAction open(FilterChainContext context) {
-        TcpConnection connection = new TcpConnection(context.getConnection(), listener);
+    private NextAction open(FilterChainContext context, Duration acceptDelay) {
+        TcpConnection connection = new TcpConnection(context.getConnection(), listener, acceptDelay);
         connections.set(context.getConnection(), connection);
         listener.opened(connection);
         return context.getStopAction();
@@ -42,7 +43,7 @@
         Buffer bytes = context.getMessage();
         TcpConnection connection = connectionOf(context.getConnection());
         if (connection != null && !connection.isClosed()) {
-            listener.received(connection, bytes.toByteBuffer());
+            connection.received(bytes.toByteBuffer());
         }
         bytes.tryDispose();
         return context.getStopAction();
--- a/src/main/java/switchgap/policy/SlowStart.java
+++ b/src/main/java/switchgap/policy/SlowStart.java
@@ -37,7 +37,8 @@
     private double capacityShare(Duration age) {
         double seconds = Math.max(0, toSeconds(age.minus(state.settings.coldOverloadWindow)));
         double risen = (1 - state.settings.coldCapacityShare) * seconds;
-        return Math.min(1, state.settings.coldCapacityShare + risen / toSeconds(state.settings.warmUpDuration));
+        return Math.min(1,
+            state.settings.coldCapacityShare + risen / toSeconds(state.settings.warmUpDuration));
     }
 
     /** Whether a worker may have one more attempt now; routers take turns for a part below one. */
@@ -47,7 +48,9 @@
         // a process before this one, under the same name, may have sent its part in this very window
         if (!state.hasPassed(window)) { return false; }
         double allowed = ownOverloadMultiple * capacityShare(worker) * toSeconds(window) * fullRate() * 2 / 3;
-        if (allowed >= 1) { return worker.sendsWhileCold.countWithin(state.now, window) < Math.floor(allowed); }
+        if (allowed >= 1) {
+            return worker.sendsWhileCold.countWithin(state.now, window) < Math.floor(allowed);
+        }
         return isOwnTurn(worker, window);
     }
 
--- a/src/main/java/switchgap/protocol/resp/RespWorkerTransport.java
+++ b/src/main/java/switchgap/protocol/resp/RespWorkerTransport.java
@@ -79,7 +79,8 @@
         long timeoutNanos = Math.min(deadlineNanos(timeout), request.deadline.toNanos());
         PendingExchange exchange = PendingExchange.ofAttempt(attempt.worker, request,
             remaining -> RespCommand.execute(request.id, requestClassNames[request.requestClass],
-                request.function, Math.max(1, remaining.toMillis()), request.body), timeoutNanos,
+                request.function, Math.max(1, remaining.toMillis()), request.body),
+            timeoutNanos,
             (core, outcome, reply) -> core.attemptEnded(attempt, outcome,
                 reply == null ? LoadReport.NONE : reply.loadReport(reportsConcurrency),
                 outcome == AttemptOutcome.SUCCEEDED ? Response.succeeded(0, Map.of(), reply.body()) : null));
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
@@ -101,7 +101,8 @@
     private ClientConnection evictionCandidate(Duration now) {
         ClientConnection candidate = null;
         for (ClientConnection connection : connections) {
-            if (isEvictable(connection, now) && (candidate == null || goesBefore(connection, candidate, now))) {
+            if (isEvictable(connection, now)
+                && (candidate == null || goesBefore(connection, candidate, now))) {
                 candidate = connection;
             }
         }
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -115,7 +115,7 @@
 
     @Override public void received(TcpConnection tcp, ByteBuffer bytes) {
         ClientConnection connection = connectionOf(tcp);
-        Duration now = clock.get().minus(NetworkTransport.possibleReadDelay());
+        Duration now = clock.get().minus(tcp.possibleDelay());
         if (!connection.receive(bytes, frame -> frameReceived(connection, frame, now), now)) {
             connection.close("a frame's length is out of bounds");
         }
--- a/src/main/java/switchgap/soak/ClientRequest.java
+++ b/src/main/java/switchgap/soak/ClientRequest.java
@@ -5,10 +5,7 @@
     /** How it ended for its client. */
     enum End {
         /** Nothing came yet. */
-        OPEN,
-        SERVED,
-        REFUSED,
-        FAILED,
+        OPEN, SERVED, REFUSED, FAILED,
         /** Its connection ended first. */
         CUT_OFF,
         /** The client withdrew it or closed its connection. */
--- a/src/main/java/switchgap/soak/FaultKind.java
+++ b/src/main/java/switchgap/soak/FaultKind.java
@@ -17,12 +17,7 @@
     /** The event stream tells the whole list once more. */
     FEED_WHOLE_LIST,
     /** A worker drains and goes, a new one comes. */
-    WORKER_REPLACED,
-    WORKER_HANGS,
-    WORKER_REJECTS,
-    WORKER_RESETS,
-    WORKER_SPOILS_ANSWERS,
-    WORKER_ANSWERS_TWICE,
+    WORKER_REPLACED, WORKER_HANGS, WORKER_REJECTS, WORKER_RESETS, WORKER_SPOILS_ANSWERS, WORKER_ANSWERS_TWICE,
     /** A worker closes all its connections. */
     WORKER_CLOSES,
     /** Connections to a worker are taken up late. */
@@ -36,14 +31,7 @@
     /** Clients connect and say nothing. */
     CLIENT_STAYS,
     /** Hundreds of requests at once on one connection. */
-    CLIENT_FLOOD,
-    ACCEPT_FAILS,
-    CONNECT_FAILS,
-    SOCKET_FAILS,
-    READ_INTERRUPTED,
-    WRITE_INTERRUPTED,
-    READ_SHORT,
-    WRITE_SHORT,
+    CLIENT_FLOOD, ACCEPT_FAILS, CONNECT_FAILS, SOCKET_FAILS, READ_INTERRUPTED, WRITE_INTERRUPTED, READ_SHORT, WRITE_SHORT,
     /** The routers' wall clocks step by a second or an hour, forward or back. */
     WALL_CLOCK_STEP
 }
--- a/src/main/java/switchgap/soak/FaultRunner.java
+++ b/src/main/java/switchgap/soak/FaultRunner.java
@@ -234,7 +234,8 @@
             socket.setSoTimeout(millis);
             for (int i = 1; i <= FLOOD_REQUESTS; i++) {
                 Map<String, String> fields = Map.of("service", "again", "ref",
-                    String.format("f%015x", System.nanoTime() & 0xfffffffffffL), "allow", "300", "project", "shop",
+                    String.format("f%015x", System.nanoTime() & 0xfffffffffffL), "allow", "300", "project",
+                    "shop",
                     "lookup", String.format("%016x", i));
                 socket.getOutputStream().write(
                     BinaryThrift.submit(i, fields, "f".getBytes(StandardCharsets.US_ASCII)));
@@ -252,9 +253,14 @@
     private void failCalls(Fault fault, Random random, Call call, ErrorNumber error, int every)
         throws InterruptedException {
         RouterProcess router = router(random);
+        Span outage = new Span(router.index, System.nanoTime());
+        if (call == Call.ACCEPT) {
+            records.acceptOutages.add(outage);
+        }
         router.faults.inject(call, error, every);
         Thread.sleep(fault.lengthMillis());
         router.faults.inject(call, error, 0);
+        outage.endNanos = System.nanoTime();
     }
 
     private void stepWallClock(Random random) {
--- a/src/main/java/switchgap/soak/FeedEmulator.java
+++ b/src/main/java/switchgap/soak/FeedEmulator.java
@@ -68,8 +68,9 @@
         try (socket) {
             int told = readLastEvent(socket);
             OutputStream out = socket.getOutputStream();
-            out.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n".getBytes(
-                StandardCharsets.US_ASCII));
+            out.write(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n".getBytes(
+                    StandardCharsets.US_ASCII));
             long heartbeatAt = System.nanoTime();
             while (connections.contains(socket) && !socket.isClosed()) {
                 if (!silent) {
--- a/src/main/java/switchgap/soak/RouterProcess.java
+++ b/src/main/java/switchgap/soak/RouterProcess.java
@@ -51,9 +51,11 @@
     synchronized void configure(String feedAddress, List<String> events) throws IOException {
         feed = feedAddress;
         String config = "{\"name\":\"n" + index + "\",\"listen\":\"127.0.0.1:" + port
-            + "\",\"seed\":\"" + Long.toHexString(System.nanoTime()) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
+            + "\",\"seed\":\"" + Long.toHexString(System.nanoTime())
+            + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
             + MEMORY_MB + ",\"sockets\":" + MAX_SOCKETS + "},\"feed\":\"" + feed + "\",\"known\":{\"n\":"
-            + events.size() + ",\"events\":[" + String.join(",", events) + "]},\"settings\":" + settings + "}";
+            + events.size() + ",\"events\":[" + String.join(",", events) + "]},\"settings\":" + settings
+            + "}";
         Path next = directory.resolve("n" + index + ".next");
         Files.writeString(next, config);
         Files.move(next, configFile, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
--- a/src/main/java/switchgap/soak/SoakJudge.java
+++ b/src/main/java/switchgap/soak/SoakJudge.java
@@ -100,12 +100,14 @@
             broken(Rule.LOST, name + " has no answer");
         } else if (request.end == ClientRequest.End.CUT_OFF) {
             if (request.again == null) {
-                broken(Rule.LOST, name + " was cut off after " + millis(request.endedNanos - request.sentNanos)
-                    + " ms" + (request.firstOnConnection ? ", the first on its connection" : ""));
+                broken(Rule.LOST,
+                    name + " was cut off after " + millis(request.endedNanos - request.sentNanos)
+                        + " ms" + (request.firstOnConnection ? ", the first on its connection" : ""));
             }
         } else {
             long late = request.endedNanos - request.deadlineNanos()
-                - overlap(records.pauses, request.router, request.sentNanos, request.endedNanos);
+                - overlap(records.pauses, request.router, request.sentNanos, request.endedNanos)
+                - overlap(records.acceptOutages, request.router, request.sentNanos, request.endedNanos);
             if (late > LATE_NANOS + MEASUREMENT_NANOS) {
                 broken(Rule.LOST, name + " was answered " + millis(late) + " ms late");
             }
@@ -114,7 +116,8 @@
 
     private boolean wasKilled(ClientRequest request) {
         for (Span kill : records.kills) {
-            boolean after = request.endedNanos == 0 || request.endedNanos >= kill.startNanos - MEASUREMENT_NANOS;
+            boolean after = request.endedNanos == 0
+                || request.endedNanos >= kill.startNanos - MEASUREMENT_NANOS;
             boolean before = kill.endNanos == 0 || request.sentNanos <= kill.endNanos;
             if (kill.router == request.router && after && before
                 && request.end != ClientRequest.End.SERVED) {
@@ -129,7 +132,8 @@
         if (request == null) {
             return; // of a flood
         }
-        String name = "request " + request.id + " of router " + request.router + " at worker " + execution.worker();
+        String name = "request " + request.id + " of router " + request.router + " at worker "
+            + execution.worker();
         long gone = request.leftNanos;
         if (gone != 0 && execution.receivedNanos() - gone > CLIENT_GONE_NANOS + MEASUREMENT_NANOS) {
             broken(Rule.CLIENT_GONE, name + " begun " + millis(execution.receivedNanos() - gone)
@@ -171,9 +175,10 @@
         if (worker.startedNanos == 0) {
             return;
         }
-        long[] times = records.executions.stream().filter(each -> each.worker().equals(worker.name)).mapToLong(
-            each -> each.receivedNanos() - worker.startedNanos).filter(age -> age < WARM_UP_NANOS).sorted()
-            .toArray();
+        long[] times = records.executions.stream().filter(
+            each -> each.worker().equals(worker.name)).mapToLong(
+                each -> each.receivedNanos() - worker.startedNanos).filter(
+                    age -> age < WARM_UP_NANOS).sorted().toArray();
         ArrayDeque<Long> window = new ArrayDeque<>();
         double worst = 0;
         for (long time : times) {
--- a/src/main/java/switchgap/soak/SoakRecords.java
+++ b/src/main/java/switchgap/soak/SoakRecords.java
@@ -41,6 +41,8 @@
     final List<Span> pauses = new CopyOnWriteArrayList<>();
     /** Times from SIGKILL until the next process was ready. */
     final List<Span> kills = new CopyOnWriteArrayList<>();
+    /** Times at which a router could accept nothing. */
+    final List<Span> acceptOutages = new CopyOnWriteArrayList<>();
     /** Times at which the event stream told nothing, or not in time. */
     final List<Span> feedOutages = new CopyOnWriteArrayList<>();
     final Map<String, WorkerLife> workers = new ConcurrentHashMap<>();
--- a/src/main/java/switchgap/soak/SystemCallFaults.java
+++ b/src/main/java/switchgap/soak/SystemCallFaults.java
@@ -25,17 +25,8 @@
     /** Errors that Linux documents for these calls, with their numbers. */
     public enum ErrorNumber {
         /** No error: the transfer is cut to one byte. */
-        SHORT(0),
-        EINTR(4),
-        ENOMEM(12),
-        ENFILE(23),
-        EMFILE(24),
-        EADDRNOTAVAIL(99),
-        ENETUNREACH(101),
-        ECONNABORTED(103),
-        ENOBUFS(105),
-        ETIMEDOUT(110),
-        EHOSTUNREACH(113);
+        SHORT(0), EINTR(4), ENOMEM(12), ENFILE(23), EMFILE(24), EADDRNOTAVAIL(99), ENETUNREACH(
+            101), ECONNABORTED(103), ENOBUFS(105), ETIMEDOUT(110), EHOSTUNREACH(113);
 
         private final int number;
 
--- a/src/main/java/switchgap/soak/WorkerEmulator.java
+++ b/src/main/java/switchgap/soak/WorkerEmulator.java
@@ -146,8 +146,9 @@
         switch (words[0]) {
             case "DO" -> execute(socket, words);
             case "PIN" -> answerLater(socket, 1, words[1], "data", "count=1", "");
-            case "ECHO", "METER" -> answerLater(socket, 1, words[1], "well", "report=load_share:0.1;concurrent:1",
-                "");
+            case "ECHO", "METER" ->
+                answerLater(socket, 1, words[1], "well", "report=load_share:0.1;concurrent:1",
+                    "");
             default -> {} // UNDO and UNPIN have no answer
         }
     }
--- a/src/main/java/switchgap/soak/WorkerExecution.java
+++ b/src/main/java/switchgap/soak/WorkerExecution.java
@@ -9,4 +9,5 @@
  * @param maxMillis      the time that the router gave it
  * @param executed       whether it ran; false where it was turned away
  */
-record WorkerExecution(String requestId, String worker, long receivedNanos, long maxMillis, boolean executed) {}
+record WorkerExecution(String requestId, String worker, long receivedNanos, long maxMillis,
+    boolean executed) {}
