--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -31,10 +30,10 @@
     private final FrameDecoder frames = new FrameDecoder(MAX_FRAME_BYTES);
     private final AtomicInteger queuedMessages = new AtomicInteger();
     /**
-     * Sequence ids that the selector thread has read a revoke for and the event loop has not: at most as many
-     * as messages are queued.
+     * When the selector thread read a revoke that the event loop has not handled, by the sequence id that it
+     * names: at most as many as messages are queued.
      */
-    private final Set<Integer> revokedSequenceIds = ConcurrentHashMap.newKeySet();
+    private final Map<Integer, Duration> revokedAt = new ConcurrentHashMap<>();
     private volatile boolean hasPartialMessage;
     /**
      * Time of the connect, or of the first byte of a message that has not come whole; null while nothing is
@@ -103,8 +102,8 @@
     }
 
     /** A revoke was read: from now on nothing goes out for that request. */
-    void revokeReceived(int sequenceId) {
-        revokedSequenceIds.add(sequenceId);
+    void revokeReceived(int sequenceId, Duration now) {
+        revokedAt.put(sequenceId, now);
     }
 
     // ------------------------------------------------------------------ on the event loop
@@ -121,12 +120,17 @@
 
     /** The event loop handles the revoke itself. */
     void revokeHandled(int sequenceId) {
-        revokedSequenceIds.remove(sequenceId);
+        revokedAt.remove(sequenceId);
     }
 
     /** Whether a revoke of the request has been read and not handled yet. */
     boolean isRevoked(int sequenceId) {
-        return revokedSequenceIds.contains(sequenceId);
+        return revokedAt.containsKey(sequenceId);
+    }
+
+    /** When a revoke of the request was read that has not been handled yet, or null. */
+    Duration revokedAt(int sequenceId) {
+        return revokedAt.get(sequenceId);
     }
 
     /** Whether no request is in flight, on its way to the event loop or half received. */
--- a/src/main/java/switchgap/protocol/thrift/RequestHandler.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestHandler.java
@@ -21,6 +21,8 @@
      */
     private static final int MAX_REQUESTS_PER_CONNECTION = 1024;
     private static final long MIN_RETRY_AFTER_MILLIS = 1;
+    /** A client counts its time from its send, the router from its read: so much apart at the most. */
+    private static final Duration DEADLINE_SLACK = Duration.ofMillis(150);
     private static final String UNUSABLE_PREFIX = "unusable ";
 
     private final NameDirectory names;
@@ -54,7 +56,7 @@
         }
         connection.messageHandledAt(core.now());
         if (message.method().equals(WireNames.REVOKE)) {
-            revoke(core, connection, message.firstInteger());
+            revoke(core, connection, message.firstInteger(), receivedAt);
         } else {
             submit(core, connection, message, receivedAt);
         }
@@ -78,11 +80,43 @@
         }
     }
 
-    private void revoke(RouterCore core, ClientConnection connection, int sequenceId) {
+    private void revoke(RouterCore core, ClientConnection connection, int sequenceId, Duration revokedAt) {
         connection.revokeHandled(sequenceId);
         PendingRequest request = connection.inFlight.remove(sequenceId);
-        if (request != null) {
-            abandon(core, request);
+        if (request == null) {
+            return;
+        }
+        abandon(core, request);
+        if (wasDue(request, revokedAt)) {
+            if (request.attempts().isEmpty()) {
+                sendRejected(connection, sequenceId);
+            } else {
+                sendFailed(connection, sequenceId, Map.of());
+            }
+        }
+    }
+
+    /**
+     * Whether a request's answer was due when its revoke was read. A client that gives up early is owed none; one
+     * whose time has run out sends a revoke, too, and the answer that it did not get is still owed: up to half
+     * a second late it only earns nothing.
+     */
+    private static boolean wasDue(PendingRequest request, Duration revokedAt) {
+        return revokedAt.compareTo(request.deadline.minus(DEADLINE_SLACK)) >= 0;
+    }
+
+    /** A submit whose revoke is queued behind it; nothing goes out for it. */
+    private void submitRevoked(ClientConnection connection, ThriftMessage message, Duration receivedAt) {
+        int sequenceId = message.sequenceId();
+        try {
+            PendingRequest request = SubmitRequestDecoder.decode(message, names, receivedAt,
+                new ResponseSender(connection, sequenceId));
+            Duration revokedAt = connection.revokedAt(sequenceId);
+            if (revokedAt != null && wasDue(request, revokedAt)) {
+                sendRejected(connection, sequenceId);
+            }
+        } catch (InvalidRequestException e) {
+            return; // withdrawn, whatever it was
         }
     }
 
@@ -90,7 +124,8 @@
         Duration receivedAt) {
         int sequenceId = message.sequenceId();
         if (connection.isRevoked(sequenceId)) {
-            return; // the revoke is queued behind it: no response is owed
+            submitRevoked(connection, message, receivedAt);
+            return;
         }
         if (connection.inFlight.containsKey(sequenceId)
             || connection.inFlight.size() >= MAX_REQUESTS_PER_CONNECTION) {
@@ -132,11 +167,16 @@
         connection.inFlight.put(sequenceId, request);
         if (!hasCapacity || !core.accept(request)) {
             finish(connection, sequenceId, request);
-            boolean hasAdvice = names.settings().retryAfterAllowed();
-            sendRejected(connection, sequenceId, hasAdvice ? names.settings().maxRetryAfter() : null);
+            sendRejected(connection, sequenceId);
         }
     }
 
+    /** Rejects a request that the policy has not judged, with the stated time to stay away. */
+    private void sendRejected(ClientConnection connection, int sequenceId) {
+        boolean hasAdvice = names.settings().retryAfterAllowed();
+        sendRejected(connection, sequenceId, hasAdvice ? names.settings().maxRetryAfter() : null);
+    }
+
     private void finish(ClientConnection connection, int sequenceId, PendingRequest request) {
         connection.inFlight.remove(sequenceId);
         release(request);
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -187,7 +187,7 @@
             return;
         }
         if (message.method().equals(WireNames.REVOKE)) {
-            connection.revokeReceived(message.firstInteger());
+            connection.revokeReceived(message.firstInteger(), now);
         }
         eventLoop.accept(core -> {
             connection.messageDequeued();
