A wait that a signal interrupted is no look at the sockets

Class: a library's reading of a system call's result. Change: a select that was held up and found nothing does not count as a look (SelectorRounds). The soak lets a request pass that was on its way through the router in the 20 ms before a pause: a pause between encoding and write is met by no program.

--- a/src/main/java/switchgap/net/SelectorRounds.java
+++ b/src/main/java/switchgap/net/SelectorRounds.java
@@ -24,6 +24,18 @@
     private static final class Looks {
         private long latestNanos = System.nanoTime();
         private long previousNanos = latestNanos;
+
+        /**
+         * A call of select has ended. One that was stopped and continued by signals ends with nothing, whatever
+         * is ready (Linux interrupts epoll_wait then, and the JDK finds its timeout over): that was no look.
+         */
+        private void looked(long beganNanos, long nowNanos, boolean foundNothing) {
+            boolean heldUp = nowNanos - beganNanos > PauseDetector.THRESHOLD.toNanos();
+            if (!heldUp || !foundNothing) {
+                previousNanos = latestNanos;
+                latestNanos = nowNanos;
+            }
+        }
     }
 
     private static final ThreadLocal<Looks> LOOKS = ThreadLocal.withInitial(Looks::new);
@@ -40,10 +52,9 @@
     }
 
     @Override public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
-        Looks looks = LOOKS.get();
-        looks.previousNanos = looks.latestNanos;
+        long beganNanos = System.nanoTime();
         Set<SelectionKey> ready = super.select(runner);
-        looks.latestNanos = System.nanoTime();
+        LOOKS.get().looked(beganNanos, System.nanoTime(), ready.isEmpty());
         return ready;
     }
 
--- a/src/main/java/switchgap/soak/SoakJudge.java
+++ b/src/main/java/switchgap/soak/SoakJudge.java
@@ -48,6 +48,8 @@
     private static final long DRAIN_GRACE_NANOS = 500 * MILLI;
     /** What the emulators may see late on a machine that is shared with the routers. */
     private static final long MEASUREMENT_NANOS = 150 * MILLI;
+    /** From a request's read to its write. */
+    private static final long HANDLING_NANOS = 20 * MILLI;
     private static final long WARM_UP_NANOS = 4000 * MILLI;
     private static final long OVERLOAD_WINDOW_NANOS = 1000 * MILLI;
     private static final double OVERLOAD_MULTIPLE = 3;
@@ -141,14 +143,28 @@
         }
         long left = request.deadlineNanos() - execution.receivedNanos();
         long passedOn = execution.maxMillis() * MILLI;
-        if (request.again == null && passedOn - left > DEADLINE_SLACK_NANOS + MEASUREMENT_NANOS) {
+        long slack = DEADLINE_SLACK_NANOS + MEASUREMENT_NANOS + pausedWhileSent(request);
+        if (request.again == null && passedOn - left > slack) {
             broken(Rule.DEADLINE, name + " had " + execution.maxMillis() + " ms, its client " + millis(left)
                 + ", sent " + millis(execution.receivedNanos() - request.sentNanos) + " ms before, paused "
-                + millis(overlap(records.pauses, request.router, request.sentNanos, execution.receivedNanos())));
+                + millis(
+                    overlap(records.pauses, request.router, request.sentNanos, execution.receivedNanos())));
         }
         judgeDrain(execution, request, name);
     }
 
+    /** A pause that begins between a command's encoding and its write is met by no program. */
+    private long pausedWhileSent(ClientRequest request) {
+        long paused = 0;
+        for (Span pause : records.pauses) {
+            long before = pause.startNanos - request.sentNanos;
+            if (pause.router == request.router && before >= 0 && before < HANDLING_NANOS) {
+                paused += pause.endNanos - pause.startNanos;
+            }
+        }
+        return paused;
+    }
+
     private void judgeDrain(WorkerExecution execution, ClientRequest request, String name) {
         long drained = records.workers.get(execution.worker()).drainedNanos;
         long since = execution.receivedNanos() - drained;
