Known red: a flood elsewhere closes a usual client behind its request

Cause: messages that wait for the event loop share one bound of bytes; past it the connection whose message was read is closed, whoever filled the queue. Measured: the usual client's connection ends without a byte.

--- a/src/test/java/switchgap/protocol/thrift/ThriftServerFloodTest.java
+++ b/src/test/java/switchgap/protocol/thrift/ThriftServerFloodTest.java
@@ -49,6 +49,33 @@
         }
     }
 
+    private static ThriftServer server(ConcurrentLinkedQueue<Consumer<RouterCore>> events) throws Exception {
+        ThriftServer.ConnectionLimits limits = new ThriftServer.ConnectionLimits(10, 10, 1 << 16, QUEUE_BYTES,
+            10, Duration.ofSeconds(10), Duration.ofMillis(200));
+        return new ThriftServer(TestPlatformSettings.terms(), Map.of(), Map.of(), limits, () -> Duration.ZERO,
+            events::add, line -> {});
+    }
+
+    /** The event loop stands still behind another client's message: what was read has an answer, not a close. */
+    @Test void aUsualClientBesideAFloodIsRefusedWithAnAnswer() throws Exception {
+        ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
+        try (NetworkTransport net = new NetworkTransport(1, "flood-test"); ThriftServer server = server(
+            events)) {
+            server.listen(net, "127.0.0.1", 0);
+            try (Socket flooding = new Socket("127.0.0.1", server.port());
+                Socket usual = new Socket("127.0.0.1", server.port())) {
+                submit(flooding, 1, 600);
+                assertThat(isClosed(flooding)).isFalse(); // and it has been read by now
+                submit(usual, 7, 600);
+                usual.setSoTimeout(1000);
+                DataInputStream in = new DataInputStream(usual.getInputStream());
+                byte[] reply = in.readNBytes(in.readInt());
+                assertThat(reply).as("sequence id of a reply").containsSequence(0, 0, 0, 7);
+                assertThat(isClosed(usual)).isFalse();
+            }
+        }
+    }
+
     /** The event loop stands still: one message is queued, the next does not fit, and one of another client does. */
     @Test void aMessageThatWasRefusedTakesNothingOfTheQueuesBytes() throws Exception {
         ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
