--- a/src/test/java/switchgap/server/platform/SystemCallFailureTest.java
+++ b/src/test/java/switchgap/server/platform/SystemCallFailureTest.java
@@ -209,4 +209,21 @@
             }
         }
     }
+
+    /** A process that starts while descriptors are short for a moment starts all the same. */
+    @Test void aSocketThatFailsForAWhileDelaysTheStart() throws Exception {
+        try (RespTestServer worker = new RespTestServer(RespTestServer::serveAll)) {
+            faults = SystemCallFaults.of(library, dir.resolve("faults"));
+            faults.inject(Call.SOCKET, ErrorNumber.EMFILE, 1);
+            variables.putAll(faults.environment());
+            file = dir.resolve("config.json");
+            Files.writeString(file, config(256, worker));
+            start("");
+            await(() -> faults.touched(Call.SOCKET) > 0);
+            Thread.sleep(500);
+            faults.clear();
+            assertThat(served(serves())).as(log()).isEqualTo(CLIENTS * REQUESTS_PER_CLIENT);
+            await(() -> !feed.asked.isEmpty());
+        }
+    }
 }
