Every send, answer and close passes one rule checker; events with reasons; floods are answered

Cause: no line of the log and no counter could say what became of a request; the bound of queued bytes closed whoever came last; the listening socket was asked for once. Reasons of closes are typed (ClientCloseReason).

--- a/src/main/java/switchgap/net/TcpConnection.java
+++ b/src/main/java/switchgap/net/TcpConnection.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.IOEvent;
@@ -33,6 +34,9 @@
         void closed(TcpConnection connection, String reason);
     }
 
+    private static final AtomicLong LAST_ID = new AtomicLong();
+
+    private final String id = "c" + LAST_ID.incrementAndGet();
     private final Connection<?> connection;
     private final Listener listener;
     private final Duration acceptDelay;
@@ -70,6 +74,11 @@
         hasRead = true;
     }
 
+    /** Its name in the log, unique in the process. */
+    public String id() {
+        return id;
+    }
+
     /** Whether neither side has closed the connection. */
     public boolean isOpen() {
         return !closed.get() && connection.isOpen();
--- a/src/main/java/switchgap/protocol/resp/PendingExchange.java
+++ b/src/main/java/switchgap/protocol/resp/PendingExchange.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import switchgap.policy.api.AttemptOutcome;
+import switchgap.router.Attempt;
 import switchgap.router.PendingRequest;
 import switchgap.router.RouterCore;
+import switchgap.router.RuleChecker;
 import switchgap.router.WorkerEntry;
 
 /**
@@ -43,7 +45,8 @@
     final WorkerEntry worker;
     /** The id or tag that its reply will bear; null where the command has no reply. */
     final String id;
-    /** The request of an attempt, else null. */
+    /** The attempt and its request, else null. */
+    final Attempt attempt;
     final PendingRequest request;
     private final CommandEncoder encoder;
     /** Nanoseconds of the loop's clock at which it times out. */
@@ -54,12 +57,13 @@
     private RespConnection connection;
     private long sentNanos;
 
-    private PendingExchange(WorkerEntry worker, String id, PendingRequest request,
+    private PendingExchange(WorkerEntry worker, String id, Attempt attempt,
         boolean allowedWhileDraining, CommandEncoder encoder, long timeoutNanos,
         CompletionListener listener) {
         this.worker = worker;
         this.id = id;
-        this.request = request;
+        this.attempt = attempt;
+        this.request = attempt == null ? null : attempt.request;
         this.allowedWhileDraining = allowedWhileDraining;
         this.encoder = encoder;
         this.timeoutNanos = timeoutNanos;
@@ -67,9 +71,10 @@
     }
 
     /** The exchange of an attempt of a request, whose id the reply will bear. */
-    static PendingExchange ofAttempt(WorkerEntry worker, PendingRequest request, CommandEncoder encoder,
+    static PendingExchange ofAttempt(Attempt attempt, CommandEncoder encoder,
         long timeoutNanos, CompletionListener listener) {
-        return new PendingExchange(worker, request.id, request, false, encoder, timeoutNanos, listener);
+        return new PendingExchange(attempt.worker, attempt.request.id, attempt, false, encoder, timeoutNanos,
+            listener);
     }
 
     /**
@@ -94,9 +99,16 @@
             && (request == null || request.isAwaited() && nowNanos < timeoutNanos);
     }
 
-    /** The command, to go out at this time. */
-    byte[] command(long nowNanos) {
-        return encoder.encode(Duration.ofNanos(timeoutNanos - nowNanos));
+    /** The command, to go out at this time; the rules are checked for it. */
+    byte[] command(long nowNanos, RuleChecker rules) {
+        Duration remaining = Duration.ofNanos(timeoutNanos - nowNanos);
+        Duration now = Duration.ofNanos(nowNanos);
+        if (attempt != null) {
+            rules.attemptSent(attempt, remaining, now);
+        } else if (!allowedWhileDraining) {
+            rules.loadSent(worker, now);
+        }
+        return encoder.encode(remaining);
     }
 
     State state() {
--- a/src/main/java/switchgap/protocol/resp/ReplyReader.java
+++ b/src/main/java/switchgap/protocol/resp/ReplyReader.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import switchgap.net.TcpConnection;
 import switchgap.router.RouterCore;
+import switchgap.router.RouterEvents;
 
 /** Decodes what workers send, on selector threads, and hands the replies to the event loop. */
 final class ReplyReader implements TcpConnection.Listener {
@@ -13,9 +14,12 @@
 
     private final Consumer<Consumer<RouterCore>> events;
 
-    /** A reader that posts to this event loop. */
-    ReplyReader(Consumer<Consumer<RouterCore>> events) {
+    private final RouterEvents routerEvents;
+
+    /** A reader that posts to this event loop, and notes why connections end. */
+    ReplyReader(Consumer<Consumer<RouterCore>> events, RouterEvents routerEvents) {
         this.events = events;
+        this.routerEvents = routerEvents;
     }
 
     @Override public void opened(TcpConnection tcp) {}
@@ -37,12 +41,13 @@
                 core -> replies.forEach(reply -> connection.pool.replyReceived(core, connection, reply)));
         }
         if (malformed != null) { // where the next reply would begin is not known: nothing more can be read
-            tcp.close(malformed);
+            tcp.close("malformed reply: " + malformed);
         }
     }
 
     @Override public void closed(TcpConnection tcp, String why) {
         if (tcp.attachment instanceof RespConnection connection) {
+            routerEvents.recordClose(RouterEvents.Kind.WORKER_CLOSED, why, tcp.id());
             events.accept(core -> connection.pool.connectionClosed(core, connection));
         }
     }
--- a/src/main/java/switchgap/protocol/resp/RespConnectionManager.java
+++ b/src/main/java/switchgap/protocol/resp/RespConnectionManager.java
@@ -10,6 +10,7 @@
 import switchgap.net.NetworkTransport;
 import switchgap.net.TcpConnection;
 import switchgap.router.RouterCore;
+import switchgap.router.RuleChecker;
 import switchgap.router.WorkerEntry;
 
 /**
@@ -25,6 +26,7 @@
     private final Supplier<Duration> clock;
     private final Consumer<Consumer<RouterCore>> events;
     private final TcpConnection.Factory connectionFactory;
+    private final RuleChecker rules;
     private final Set<RespConnectionPool> pools = new HashSet<>();
     /** Connections that are open or being opened. */
     private int connectionCount;
@@ -34,19 +36,26 @@
      *
      * @param clock   the router's clock
      * @param events  posts to the router's event loop
+     * @param rules   passes each send
      */
     RespConnectionManager(NetworkTransport net, RespWorkerTransport.ConnectionLimits limits,
-        Supplier<Duration> clock, Consumer<Consumer<RouterCore>> events) {
+        Supplier<Duration> clock, Consumer<Consumer<RouterCore>> events, RuleChecker rules) {
         this.limits = limits;
         this.clock = clock;
         this.events = events;
-        this.connectionFactory = new TcpConnection.Factory(net, new ReplyReader(events));
+        this.rules = rules;
+        this.connectionFactory = new TcpConnection.Factory(net, new ReplyReader(events, rules.events()));
     }
 
     RespWorkerTransport.ConnectionLimits limits() {
         return limits;
     }
 
+    /** Passes each send. */
+    RuleChecker rules() {
+        return rules;
+    }
+
     /** Nanoseconds of the router's clock. */
     long nowNanos() {
         return clock.get().toNanos();
--- a/src/main/java/switchgap/protocol/resp/RespConnectionPool.java
+++ b/src/main/java/switchgap/protocol/resp/RespConnectionPool.java
@@ -122,7 +122,8 @@
     }
 
     private void send(PendingExchange exchange, RespConnection connection) {
-        if (!maySend(exchange) || !connection.tcp.send(exchange.command(manager.nowNanos()))) { // no byte of it went out
+        if (!maySend(exchange)
+            || !connection.tcp.send(exchange.command(manager.nowNanos(), manager.rules()))) { // no byte of it went out
             endLater(exchange, AttemptOutcome.NOT_SENT);
             return;
         }
--- a/src/main/java/switchgap/protocol/resp/RespWorkerTransport.java
+++ b/src/main/java/switchgap/protocol/resp/RespWorkerTransport.java
@@ -8,9 +8,11 @@
 import switchgap.policy.api.AttemptOutcome;
 import switchgap.policy.api.LoadReport;
 import switchgap.router.Attempt;
+import switchgap.router.CoreLimits;
 import switchgap.router.PendingRequest;
 import switchgap.router.Response;
 import switchgap.router.RouterCore;
+import switchgap.router.RuleChecker;
 import switchgap.router.WorkerCommand;
 import switchgap.router.WorkerEntry;
 import switchgap.router.WorkerTransport;
@@ -49,18 +51,18 @@
      *
      * @param limits              bounds of the connections
      * @param requestClassNames   names of the request classes by index
-     * @param loadCommandTimeout  timeout of a load command and an unload
-     * @param probeTimeout        timeout of a probe
+     * @param coreLimits          timeouts of load commands and probes
      * @param clock               the router's clock
      * @param events              posts to the router's event loop
+     * @param rules               passes each send
      */
     public RespWorkerTransport(NetworkTransport net, ConnectionLimits limits, String[] requestClassNames,
-        Duration loadCommandTimeout, Duration probeTimeout, Supplier<Duration> clock,
-        Consumer<Consumer<RouterCore>> events) {
-        this.connections = new RespConnectionManager(net, limits, clock, events);
+        CoreLimits coreLimits, Supplier<Duration> clock, Consumer<Consumer<RouterCore>> events,
+        RuleChecker rules) {
+        this.connections = new RespConnectionManager(net, limits, clock, events, rules);
         this.requestClassNames = requestClassNames;
-        this.loadCommandTimeout = loadCommandTimeout;
-        this.probeTimeout = probeTimeout;
+        this.loadCommandTimeout = coreLimits.commandTimeout();
+        this.probeTimeout = coreLimits.probeTimeout();
         this.reportsConcurrency = limits.crowds();
     }
 
@@ -77,7 +79,7 @@
     @Override public void startAttempt(Attempt attempt, Duration timeout) {
         PendingRequest request = attempt.request;
         long timeoutNanos = Math.min(deadlineNanos(timeout), request.deadline.toNanos());
-        PendingExchange exchange = PendingExchange.ofAttempt(attempt.worker, request,
+        PendingExchange exchange = PendingExchange.ofAttempt(attempt,
             remaining -> RespCommand.execute(request.id, requestClassNames[request.requestClass],
                 request.function, Math.max(1, remaining.toMillis()), request.body),
             timeoutNanos,
--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -57,14 +57,19 @@
         return connection.isOpen();
     }
 
-    void close(String reason) {
-        connection.close(reason);
+    /** Its name in the log. */
+    String id() {
+        return connection.id();
+    }
+
+    void close(ClientCloseReason reason) {
+        connection.close(reason.text());
     }
 
     /** Sends a reply; closes a connection whose client does not read its replies. Any thread. */
     void send(byte[] reply) {
         if (connection.unsentBytes() > maxUnsentBytes) {
-            connection.close("reads no answers");
+            close(ClientCloseReason.REPLIES_UNREAD);
         } else {
             connection.send(reply);
             lastActiveAt = clock.get();
@@ -96,6 +101,11 @@
         receivingSince = null;
     }
 
+    /** Messages that wait for the event loop. */
+    int queuedMessages() {
+        return queuedMessages.get();
+    }
+
     /** Counts a message that is about to be queued for the event loop, and returns how many are. */
     int messageQueued() {
         return queuedMessages.incrementAndGet();
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
@@ -51,7 +51,7 @@
             if (evicted == null) {
                 return false;
             }
-            evicted.close("the place is needed");
+            evicted.close(ClientCloseReason.EVICTED);
             connections.remove(evicted);
         }
         return true;
@@ -90,7 +90,7 @@
     void closeOverdue(Duration now) {
         for (ClientConnection connection : snapshot()) {
             if (connection.isReceiveOverdue(now, receiveTimeout, pauses)) {
-                connection.close("no whole message in time");
+                connection.close(ClientCloseReason.RECEIVE_TIMEOUT);
             }
         }
     }
--- a/src/main/java/switchgap/protocol/thrift/RequestHandler.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestHandler.java
@@ -4,11 +4,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import switchgap.router.PendingRequest;
 import switchgap.router.Response;
 import switchgap.router.ResponseListener;
 import switchgap.router.RouterCore;
+import switchgap.router.RouterEvents;
+import switchgap.router.RouterEvents.Kind;
+import switchgap.router.RuleChecker;
 
 /**
  * Offers submitted requests to the router's core and sends their responses. Bounds requests in flight, their
@@ -25,22 +27,35 @@
     private static final Duration DEADLINE_SLACK = Duration.ofMillis(150);
     private static final String UNUSABLE_PREFIX = "unusable ";
 
+    // Reasons of answers that the policy has not given, and of requests that are given up.
+    private static final String SUBMITTED = "SUBMITTED";
+    private static final String SHUTDOWN = "SHUTDOWN";
+    private static final String REVOKED = "REVOKED";
+    private static final String REVOKED_LATE = "REVOKED_LATE";
+    private static final String NOT_ACCEPTED = "NOT_ACCEPTED";
+    private static final String NO_CAPACITY = "NO_CAPACITY";
+    private static final String TOO_MANY_OPEN = "TOO_MANY_OPEN";
+    private static final String QUEUE_FULL = "QUEUE_FULL";
+    private static final String UNUSABLE = "UNUSABLE";
+
     private final NameDirectory names;
     private final int maxRequests;
     private final int maxRequestBytes;
     private final ClientConnectionTable connections;
-    private final Consumer<String> log;
+    private final RuleChecker rules;
+    private final RouterEvents events;
     /** The connection of each request in flight, by the request's id. */
     private final Map<String, ClientConnection> connectionByRequestId = new HashMap<>();
     private int inFlightBytes;
 
     RequestHandler(NameDirectory names, ThriftServer.ConnectionLimits limits,
-        ClientConnectionTable connections, Consumer<String> log) {
+        ClientConnectionTable connections, RuleChecker rules) {
         this.names = names;
         this.maxRequests = limits.maxRequests();
         this.maxRequestBytes = limits.maxRequestBytes();
         this.connections = connections;
-        this.log = log;
+        this.rules = rules;
+        this.events = rules.events();
     }
 
     /** Requests without their response. */
@@ -65,18 +80,24 @@
     /** A connection ended: its requests have no client any more. */
     void connectionClosed(RouterCore core, ClientConnection connection, String reason) {
         connections.remove(connection);
-        if (!connection.inFlight.isEmpty()) {
-            log.accept("a client's connection ended with " + connection.inFlight.size() + " calls held: "
-                + reason);
+        ClientCloseReason typed = ClientCloseReason.of(reason);
+        int unanswered = connection.inFlight.size();
+        rules.closed(reason, typed.isClientsOwn(), unanswered + connection.queuedMessages(), core.now());
+        events.record(Kind.CLIENT_CLOSED, typed.name(), connection.id(), unanswered);
+        if (unanswered > 0) {
+            events.line("a client's connection ended with " + unanswered + " calls held: " + reason);
         }
-        abandonAll(core, connection);
+        abandonAll(core, connection, typed.name());
     }
 
     /** Fails all requests in flight, as none of them can be waited for any more. */
     void failAll(RouterCore core) {
         for (ClientConnection connection : connections.snapshot()) {
-            connection.inFlight.keySet().forEach(sequenceId -> sendFailed(connection, sequenceId, Map.of()));
-            abandonAll(core, connection);
+            connection.inFlight.forEach((sequenceId, request) -> {
+                rules.answered(request, SHUTDOWN, core.now());
+                sendFailed(connection, sequenceId, Map.of());
+            });
+            abandonAll(core, connection, SHUTDOWN);
         }
     }
 
@@ -86,8 +107,9 @@
         if (request == null) {
             return;
         }
-        abandon(core, request);
+        abandon(core, request, REVOKED);
         if (wasDue(request, revokedAt)) {
+            rules.answered(request, REVOKED_LATE, core.now());
             if (request.attempts().isEmpty()) {
                 sendRejected(connection, sequenceId);
             } else {
@@ -113,6 +135,7 @@
                 new ResponseSender(connection, sequenceId));
             Duration revokedAt = connection.revokedAt(sequenceId);
             if (revokedAt != null && wasDue(request, revokedAt)) {
+                events.record(Kind.REQUEST_ANSWERED, REVOKED_LATE, request.id, connection.id());
                 sendRejected(connection, sequenceId);
             }
         } catch (InvalidRequestException e) {
@@ -127,18 +150,23 @@
             submitRevoked(connection, message, receivedAt);
             return;
         }
-        if (connection.inFlight.containsKey(sequenceId)
-            || connection.inFlight.size() >= MAX_REQUESTS_PER_CONNECTION) {
-            // a response could be taken for the other request's
-            connection.close("two requests under one number, or too many open");
+        if (connection.inFlight.containsKey(sequenceId)) {
+            connection.close(ClientCloseReason.DUPLICATE_SEQUENCE_ID);
+            return;
+        }
+        if (connection.inFlight.size() >= MAX_REQUESTS_PER_CONNECTION) {
+            events.record(Kind.REQUEST_ANSWERED, TOO_MANY_OPEN, connection.id(), sequenceId);
+            sendRejected(connection, sequenceId);
             return;
         }
         try {
             PendingRequest request = SubmitRequestDecoder.decode(message, names, receivedAt,
                 new ResponseSender(connection, sequenceId));
+            events.record(Kind.REQUEST_RECEIVED, SUBMITTED, request.id, connection.id());
             ensureIdIsUnused(core, request.id);
             offer(core, connection, sequenceId, request);
         } catch (InvalidRequestException e) {
+            events.record(Kind.REQUEST_ANSWERED, UNUSABLE, connection.id(), e.getMessage());
             sendFailed(connection, sequenceId, Map.of(WireNames.REASON, UNUSABLE_PREFIX + e.getMessage()));
         }
     }
@@ -155,7 +183,7 @@
         if (owner.isOpen()) {
             throw new InvalidRequestException(WireNames.REF);
         }
-        connectionClosed(core, owner, "sent again on another one");
+        connectionClosed(core, owner, ClientCloseReason.SENT_AGAIN.text());
     }
 
     private void offer(RouterCore core, ClientConnection connection, int sequenceId, PendingRequest request) {
@@ -167,10 +195,17 @@
         connection.inFlight.put(sequenceId, request);
         if (!hasCapacity || !core.accept(request)) {
             finish(connection, sequenceId, request);
+            rules.answered(request, hasCapacity ? NOT_ACCEPTED : NO_CAPACITY, core.now());
             sendRejected(connection, sequenceId);
         }
     }
 
+    /** Refuses a request that does not fit into the event loop's queue; any thread. */
+    void refuseUnseen(ClientConnection connection, int sequenceId) {
+        events.record(Kind.REQUEST_ANSWERED, QUEUE_FULL, connection.id(), sequenceId);
+        sendRejected(connection, sequenceId);
+    }
+
     /** Rejects a request that the policy has not judged, with the stated time to stay away. */
     private void sendRejected(ClientConnection connection, int sequenceId) {
         boolean hasAdvice = names.settings().retryAfterAllowed();
@@ -182,14 +217,15 @@
         release(request);
     }
 
-    private void abandonAll(RouterCore core, ClientConnection connection) {
+    private void abandonAll(RouterCore core, ClientConnection connection, String why) {
         for (PendingRequest request : List.copyOf(connection.inFlight.values())) {
-            abandon(core, request);
+            abandon(core, request, why);
         }
         connection.inFlight.clear();
     }
 
-    private void abandon(RouterCore core, PendingRequest request) {
+    private void abandon(RouterCore core, PendingRequest request, String why) {
+        events.record(Kind.REQUEST_ABANDONED, why, request.id, "");
         release(request);
         core.clientLeft(request);
     }
@@ -226,6 +262,7 @@
 
         @Override public void responded(PendingRequest request, Response response) {
             finish(connection, sequenceId, request);
+            rules.answered(request, response.kind().name(), request.deadline);
             switch (response.kind()) {
                 case SUCCEEDED -> connection.send(
                     ThriftResponseEncoder.response(WireNames.SUBMIT, sequenceId, response.body(), true));
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -12,6 +12,8 @@
 import switchgap.net.TcpConnection;
 import switchgap.policy.api.RouterSettings;
 import switchgap.router.RouterCore;
+import switchgap.router.RouterEvents.Kind;
+import switchgap.router.RuleChecker;
 
 /**
  * Listens for clients. Selector threads read and decode messages and answer heartbeats; what is known of
@@ -54,6 +56,7 @@
     /** Whether a further look for connections to evict is scheduled; event loop only. */
     private boolean evictionScheduled;
     private volatile boolean isHealthy;
+    private final RuleChecker rules;
     private final PauseDetector pauseDetector;
     private volatile TcpConnection.Server listener;
 
@@ -66,18 +69,19 @@
      * @param limits          bounds of what clients may take
      * @param clock           time since the router's start
      * @param eventLoop       runs an event on the router's event loop
-     * @param log             takes a line of the log
+     * @param rules           passes each answer and close; its events hear of requests and connections
      */
     public ThriftServer(RouterSettings settings, Map<String, Integer> requestClasses,
         Map<String, Integer> tenants, ConnectionLimits limits, Supplier<Duration> clock,
-        Consumer<Consumer<RouterCore>> eventLoop, Consumer<String> log) {
+        Consumer<Consumer<RouterCore>> eventLoop, RuleChecker rules) {
         this.limits = limits;
         this.clock = clock;
         this.eventLoop = eventLoop;
+        this.rules = rules;
         pauseDetector = new PauseDetector(limits.sweepInterval, clock.get());
         connections = new ClientConnectionTable(limits.maxConnections, limits.receiveTimeout);
         requests = new RequestHandler(new NameDirectory(settings, requestClasses, tenants), limits,
-            connections, log);
+            connections, rules);
     }
 
     /** Listens; port 0 takes any. */
@@ -106,6 +110,7 @@
         ClientConnection connection = new ClientConnection(tcp, clock, limits.maxUnsentBytes);
         tcp.attachment = connection;
         openConnections.incrementAndGet();
+        rules.events().record(Kind.CLIENT_CONNECTED, "accepted", tcp.id(), "");
         updateAccepting();
         eventLoop.accept(core -> {
             connections.add(connection);
@@ -117,7 +122,7 @@
         ClientConnection connection = connectionOf(tcp);
         Duration now = clock.get().minus(tcp.possibleDelay());
         if (!connection.receive(bytes, frame -> frameReceived(connection, frame, now), now)) {
-            connection.close("a frame's length is out of bounds");
+            connection.close(ClientCloseReason.FRAME_OUT_OF_BOUNDS);
         }
     }
 
@@ -162,14 +167,14 @@
                 connection.sendLast(
                     ThriftResponseEncoder.protocolError(e.method(), e.sequenceId(), e.getMessage()));
             }
-            connection.close("unreadable message");
+            connection.close(ClientCloseReason.UNREADABLE_MESSAGE);
         }
     }
 
     private void messageReceived(ClientConnection connection, ThriftMessage message, int messageBytes,
         Duration now) {
         if (!message.type().isRequest()) {
-            connection.close("a reply from a client");
+            connection.close(ClientCloseReason.REPLY_FROM_CLIENT);
             return;
         }
         String method = message.method();
@@ -182,16 +187,24 @@
     }
 
     private void enqueue(ClientConnection connection, ThriftMessage message, int messageBytes, Duration now) {
-        if (connection.messageQueued() > MAX_QUEUED_MESSAGES || !reserveQueuedBytes(messageBytes)) {
-            connection.close("more messages than the router keeps up with");
+        boolean isRevoke = message.method().equals(WireNames.REVOKE);
+        boolean fits = connection.messageQueued() <= MAX_QUEUED_MESSAGES;
+        if (!fits && isRevoke) {
+            connection.close(ClientCloseReason.QUEUE_OVERFLOW); // it has no reply that could refuse it
             return;
         }
-        if (message.method().equals(WireNames.REVOKE)) {
+        // a revoke is small, and bounded by the messages of its connection
+        if (!fits || !isRevoke && !reserveQueuedBytes(messageBytes)) {
+            connection.messageDequeued();
+            requests.refuseUnseen(connection, message.sequenceId());
+            return;
+        }
+        if (isRevoke) {
             connection.revokeReceived(message.firstInteger(), now);
         }
         eventLoop.accept(core -> {
             connection.messageDequeued();
-            queuedBytes.addAndGet(-messageBytes);
+            queuedBytes.addAndGet(isRevoke ? 0 : -messageBytes);
             requests.messageReceived(core, connection, message, now);
         });
     }
--- a/src/main/java/switchgap/router/Attempt.java
+++ b/src/main/java/switchgap/router/Attempt.java
@@ -18,7 +18,8 @@
     boolean mayHaveExecuted = true;
     TimerQueue.Timer timeout;
 
-    Attempt(PendingRequest request, int number, WorkerEntry worker, Duration sentAt) {
+    /** The attempt with this number, at a worker, from a time since the start on. */
+    public Attempt(PendingRequest request, int number, WorkerEntry worker, Duration sentAt) {
         this.request = request;
         this.number = number;
         this.worker = worker;
--- a/src/main/java/switchgap/router/PendingRequest.java
+++ b/src/main/java/switchgap/router/PendingRequest.java
@@ -53,6 +53,8 @@
     /** The reduced service level that rejected it, null where none did. */
     public ServiceLevel shedBy;
     State state = State.PENDING;
+    /** Whether its final answer has been given to its connection; for the rule checker. */
+    boolean answered;
     Duration acceptedAt = Duration.ZERO;
     int index = NO_INDEX;
     final List<Attempt> attempts = new ArrayList<>(1);
--- a/src/main/java/switchgap/router/RouterCore.java
+++ b/src/main/java/switchgap/router/RouterCore.java
@@ -42,10 +42,13 @@
     }
 
     /** Is told of each accepted request how it ended. */
-    interface RequestObserver {
+    public interface RequestObserver {
         /** A request ended with its response, null where it got none. */
         void requestEnded(PendingRequest request, Response response);
 
+        /** An attempt ended. */
+        default void attemptEnded(Attempt attempt, AttemptOutcome outcome) {}
+
         /** What a worker reported with an attempt's end. */
         default void workerReported(LoadReport report) {}
     }
@@ -64,7 +67,8 @@
         this.actions = new ActionExecutor(this, transport, limits);
     }
 
-    void observe(RequestObserver to) {
+    /** Has an observer told from now on; there is one at a time. */
+    public void observe(RequestObserver to) {
         observer = to;
     }
 
@@ -156,6 +160,7 @@
             return;
         }
         attempt.ended = true;
+        observer.attemptEnded(attempt, outcome);
         attempt.mayHaveExecuted = !outcome.neverExecuted();
         timers.cancel(attempt.timeout);
         observer.workerReported(report);
--- /dev/null
+++ b/src/main/java/switchgap/server/platform/AttemptObserver.java
@@ -0,0 +1,24 @@
+package switchgap.server.platform;
+
+import switchgap.policy.api.AttemptOutcome;
+import switchgap.router.Attempt;
+import switchgap.router.PendingRequest;
+import switchgap.router.Response;
+import switchgap.router.RouterCore;
+import switchgap.router.RouterEvents;
+import switchgap.router.RouterEvents.Kind;
+
+/** Notes how attempts end, among the router's events. */
+final class AttemptObserver implements RouterCore.RequestObserver {
+    private final RouterEvents events;
+
+    AttemptObserver(RouterEvents events) {
+        this.events = events;
+    }
+
+    @Override public void attemptEnded(Attempt attempt, AttemptOutcome outcome) {
+        events.record(Kind.ATTEMPT_ENDED, outcome.name(), attempt.request.id, attempt.worker.name);
+    }
+
+    @Override public void requestEnded(PendingRequest request, Response response) {}
+}
--- a/src/main/java/switchgap/server/platform/GracefulShutdown.java
+++ b/src/main/java/switchgap/server/platform/GracefulShutdown.java
@@ -45,6 +45,7 @@
         router.reportHealthy(false);
         Thread.sleep(DRAIN_DURATION.toMillis());
         awaitIdle();
+        router.events().counts().forEach((event, count) -> log.trace("count " + event + " " + count));
         log.line("stopped, " + router.resourceUsage().pendingRequests() + " requests pending");
         router.failPending();
         Thread.sleep(FLUSH_DURATION.toMillis());
--- a/src/main/java/switchgap/server/platform/PlatformRouter.java
+++ b/src/main/java/switchgap/server/platform/PlatformRouter.java
@@ -11,11 +11,14 @@
 import switchgap.endpoints.EventStreamClient;
 import switchgap.eventloop.EventLoop;
 import switchgap.net.HttpClientConnection;
+import switchgap.net.ListenRetry;
 import switchgap.net.NetworkTransport;
 import switchgap.protocol.resp.RespWorkerTransport;
 import switchgap.protocol.thrift.ThriftServer;
 import switchgap.router.CoreLimits;
 import switchgap.router.RouterCore;
+import switchgap.router.RouterEvents;
+import switchgap.router.RuleChecker;
 
 /**
  * A running router on the platform: Thrift to its clients, RESP to its workers, the control feed, and the
@@ -45,6 +48,8 @@
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(200);
 
     private final RateLimitedLog log;
+    private final RouterEvents events;
+    private final RuleChecker rules;
     private final PropertyRouterSettings settings;
     private final NetworkTransport network;
     private final EventLoop loop;
@@ -52,6 +57,7 @@
     private final ThriftServer clients;
     private final EventStreamClient feed;
     private final Duration longestTimeout;
+    private volatile boolean listKnown;
 
     /**
      * Starts a router; it serves once this returns.
@@ -61,16 +67,20 @@
     PlatformRouter(PlatformConfig config, RateLimitedLog log) throws IOException {
         this.log = log;
         settings = config.settings();
+        events = new RouterEvents(log::line, log.isTracing() ? log::trace : null);
+        rules = new RuleChecker(settings, events);
         network = new NetworkTransport(SELECTOR_THREADS, "net");
         Consumer<String> logLines = log::line;
         AtomicReference<RespWorkerTransport> transport = new AtomicReference<>();
         loop = new EventLoop(eventLoop -> {
             transport.set(workerTransport(eventLoop, config.maxSockets()));
-            return routerCore(transport.get(), config.seed());
+            RouterCore core = routerCore(transport.get(), config.seed());
+            core.observe(new AttemptObserver(events));
+            return core;
         }, "loop", late -> {}, this::tickFailed, network::awaitPendingReads);
         workers = transport.get();
         clients = new ThriftServer(settings, settings.namedIndices("Lanes"), settings.namedIndices("Tenants"),
-            clientLimits(config.maxSockets()), loop::now, loop::post, logLines);
+            clientLimits(config.maxSockets()), loop::now, loop::post, rules);
         longestTimeout = settings.longestTimeout();
         feed = new EventStreamClient(new HttpClientConnection.Factory(network, null, MAX_FEED_BODY_BYTES),
             config.lastSequence(), config.directory(), this::eventReceived, logLines);
@@ -84,14 +94,16 @@
             share(maxSockets, WORKER_CONNECTION_SHARE), MAX_CONNECTIONS_PER_WORKER, MAX_WAITING_EXCHANGES,
             settings.attemptsPerConnection(), settings.connectTimeout(),
             idleTimeout, settings.reportsConcurrency());
-        return new RespWorkerTransport(network, limits, requestClassNames(), settings.loadCommandTimeout(),
-            settings.connectTimeout(), eventLoop::now, eventLoop::post);
+        return new RespWorkerTransport(network, limits, requestClassNames(), coreLimits(), eventLoop::now,
+            eventLoop::post, rules);
     }
 
     private RouterCore routerCore(RespWorkerTransport transport, long seed) {
-        CoreLimits limits = new CoreLimits(settings.loadCommandTimeout(), settings.connectTimeout(),
-            MAX_FUNCTIONS);
-        return new RouterCore(settings, seed, transport, limits);
+        return new RouterCore(settings, seed, transport, coreLimits());
+    }
+
+    private CoreLimits coreLimits() {
+        return new CoreLimits(settings.loadCommandTimeout(), settings.connectTimeout(), MAX_FUNCTIONS);
     }
 
     private ThriftServer.ConnectionLimits clientLimits(int maxSockets) {
@@ -117,7 +129,10 @@
      */
     private void startLoop(PlatformConfig config) {
         config.knownEvents().forEach(this::eventReceived);
-        CountDownLatch swept = post(this::sweep);
+        CountDownLatch swept = post(core -> {
+            listKnown = true; // the list was posted before, urgently
+            sweep(core);
+        });
         loop.start();
         try {
             swept.await();
@@ -128,8 +143,9 @@
 
     private void serve(PlatformConfig config) throws IOException {
         String host = config.listenAddress().getHostString();
-        clients.listen(network, host, config.listenAddress().getPort());
+        ListenRetry.listen(() -> clients.listen(network, host, config.listenAddress().getPort()));
         feed.follow(config.feed());
+        rules.healthy(listKnown, now());
         reportHealthy(true);
         log.line("router " + config.name() + " serves at " + host + ":" + clients.port());
     }
@@ -169,6 +185,14 @@
         clients.good(healthy);
     }
 
+    /** What happened to requests and connections so far. */
+    RouterEvents events() { return events; }
+
+    /** Violations of rules so far, each a fault of this program. */
+    long violations() {
+        return rules.violations();
+    }
+
     /** Fails all requests that are pending. */
     void failPending() throws InterruptedException {
         onLoop(clients::endAll);
--- a/src/main/java/switchgap/soak/ClientEmulator.java
+++ b/src/main/java/switchgap/soak/ClientEmulator.java
@@ -151,8 +151,7 @@
                 out.write(Arrays.copyOf(frame, half));
                 Thread.sleep(random.nextInt(HALF_MESSAGE_PAUSE_MILLIS));
                 if (random.nextInt(4) == 0) {
-                    isLeft = true; // the rest never comes
-                    socket.close();
+                    leave(); // the rest never comes
                     return;
                 }
                 frame = Arrays.copyOfRange(frame, half, frame.length);
--- a/src/main/java/switchgap/soak/Soak.java
+++ b/src/main/java/switchgap/soak/Soak.java
@@ -73,6 +73,8 @@
         List<Fault> faults = FaultPlan.draw(options.seed, options.seconds, options.leftOut);
         out.println("seed " + options.seed + ", " + options.routers + " routers, " + options.seconds + " s");
         faults.forEach(fault -> out.println("  " + fault));
+        Thread ended = new Thread(() -> routers.forEach(RouterProcess::destroy));
+        Runtime.getRuntime().addShutdownHook(ended); // whoever ends the soak ends its routers
         try (EmulatedFleet fleet = new EmulatedFleet(WORKERS, records, timers);
             FeedEmulator feed = new FeedEmulator(fleet.events)) {
             startRouters(fleet, feed);
@@ -81,6 +83,7 @@
             stopClients();
             stopRouters();
         } finally {
+            Runtime.getRuntime().removeShutdownHook(ended);
             routers.forEach(RouterProcess::destroy);
             timers.shutdownNow();
         }
--- a/src/test/java/switchgap/server/platform/PlatformFixture.java
+++ b/src/test/java/switchgap/server/platform/PlatformFixture.java
@@ -33,7 +33,10 @@
     }
 
     @AfterEach void close() throws Exception {
+        long violations = platform == null ? 0 : platform.violations();
+        Object events = platform == null ? "" : platform.events().counts();
         for (AutoCloseable resource : resources) { resource.close(); }
+        assertThat(violations).as("the router's own checks: %s", events).isZero();
     }
 
     String id() { return String.format("%016x", ++lastId); }
