The soak's judge knows how exactly it sees the begin of a pause

Cause: the order to stop a process is noted some milliseconds before it stops, so that requests of these milliseconds were judged as sent in the pause. Change: 20 ms on both sides of the noted begin.

--- a/src/main/java/switchgap/soak/SoakJudge.java
+++ b/src/main/java/switchgap/soak/SoakJudge.java
@@ -48,7 +48,7 @@
     private static final long DRAIN_GRACE_NANOS = 500 * MILLI;
     /** What the emulators may see late on a machine that is shared with the routers. */
     private static final long MEASUREMENT_NANOS = 150 * MILLI;
-    /** From a request's read to its write. */
+    /** From a request's read to its write, or from the order to stop a process to its stop. */
     private static final long HANDLING_NANOS = 20 * MILLI;
     private static final long WARM_UP_NANOS = 4000 * MILLI;
     private static final long OVERLOAD_WINDOW_NANOS = 1000 * MILLI;
@@ -158,7 +158,7 @@
         long paused = 0;
         for (Span pause : records.pauses) {
             long before = pause.startNanos - request.sentNanos;
-            if (pause.router == request.router && before >= 0 && before < HANDLING_NANOS) {
+            if (pause.router == request.router && Math.abs(before) < HANDLING_NANOS) {
                 paused += pause.endNanos - pause.startNanos;
             }
         }
