A shutdown waits for its backlog; SIGHUP reads a file again; reconnects to the feed are spread

Class: a look at one moment where the thing looked at takes time. Change: while clients may wait in the system's backlog, as accepts fail or are paused, a shutdown counts something as under way; its waits for the loop and for the last writes are bounded. The delay before a further connect to the feed is drawn between half and all of it; an event may have 2 MiB (3,200 workers were near 1).

--- a/src/main/java/switchgap/endpoints/EventStreamClient.java
+++ b/src/main/java/switchgap/endpoints/EventStreamClient.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import switchgap.net.HttpClientConnection;
@@ -25,7 +26,7 @@
  * <p>Thread-safe; events are handed on by the threads of the connections, under the client's lock.
  */
 public final class EventStreamClient implements AutoCloseable {
-    private static final int MAX_EVENT_BYTES = 1 << 20;
+    private static final int MAX_EVENT_BYTES = 2 << 20;
     /** Two heartbeat comments, one each second, and a little. */
     private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(2300);
     private static final Duration SILENCE_CHECK_INTERVAL = Duration.ofMillis(200);
@@ -150,7 +151,10 @@
     private Duration backoff() {
         if (failedAttempts == 0) { return Duration.ZERO; }
         int doublings = Math.min(failedAttempts - 1, MAX_BACKOFF_DOUBLINGS);
-        return INITIAL_BACKOFF.multipliedBy(1L << doublings);
+        Duration longest = INITIAL_BACKOFF.multipliedBy(1L << doublings);
+        // between half of it and all of it: hundreds of routers lose the feed at one moment
+        long nanos = longest.toNanos() / 2;
+        return Duration.ofNanos(nanos + ThreadLocalRandom.current().nextLong(nanos));
     }
 
     private synchronized void reconnect(long waitingAttempt) {
--- a/src/main/java/switchgap/net/TcpConnection.java
+++ b/src/main/java/switchgap/net/TcpConnection.java
@@ -162,6 +162,11 @@
             return ((InetSocketAddress) connection.getLocalAddress()).getPort();
         }
 
+        /** Whether clients may wait in the system's backlog, as nothing was accepted a moment ago. */
+        public boolean isHeldUp() {
+            return !AcceptHoldUp.of(connection).possibleDelay().isZero();
+        }
+
         /** Leaves further connections to the system's backlog, until {@link #resume}. Any thread. */
         public void pause() {
             AcceptHoldUp.of(connection).begin();
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -234,10 +234,12 @@
 
     /**
      * Connections on which anything is under way: a request, a message in part or queued, a reply that is not
-     * written; those that the event loop has not heard of yet count too.
+     * written; those that the event loop has not heard of yet count too, and clients that could not be
+     * accepted as one.
      */
     public int busy() {
-        return Math.max(0, openConnections.get() - connections.size()) + connections.busy();
+        int unaccepted = listener.isHeldUp() ? 1 : 0;
+        return Math.max(0, openConnections.get() - connections.size()) + connections.busy() + unaccepted;
     }
 
     /** Fails all requests in flight, as none of them can be waited for any more. */
--- a/src/main/java/switchgap/server/platform/GracefulShutdown.java
+++ b/src/main/java/switchgap/server/platform/GracefulShutdown.java
@@ -20,8 +20,8 @@
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
     /** Checks one after the other that must find nothing under way. */
     private static final int REQUIRED_IDLE_CHECKS = 3;
-    /** Time for the last responses to be written. */
-    private static final Duration FLUSH_DURATION = Duration.ofMillis(20);
+    /** Time for the last responses to be written, before SIGKILL comes. */
+    private static final Duration MAX_FLUSH_DURATION = Duration.ofMillis(120);
 
     private final PlatformRouter router;
     private final Duration deadline;
@@ -48,7 +48,15 @@
         router.events().counts().forEach((event, count) -> log.trace("count " + event + " " + count));
         log.line("stopped, " + router.resourceUsage().pendingRequests() + " requests pending");
         router.failPending();
-        Thread.sleep(FLUSH_DURATION.toMillis());
+        flush();
+    }
+
+    /** Waits until the last responses are written; clients that do not read hold nobody up for longer. */
+    private void flush() throws InterruptedException {
+        Duration end = router.now().plus(MAX_FLUSH_DURATION);
+        do {
+            Thread.sleep(CHECK_INTERVAL.toMillis());
+        } while (router.resourceUsage().busyClientConnections() > 0 && router.now().compareTo(end) < 0);
     }
 
     private void awaitIdle() throws InterruptedException {
--- a/src/main/java/switchgap/server/platform/PlatformConfig.java
+++ b/src/main/java/switchgap/server/platform/PlatformConfig.java
@@ -71,7 +71,9 @@
     /** Reads the feed's address alone, as the file has it now. */
     static InetSocketAddress readFeed(Map<String, String> environment) {
         Path file = Path.of(variable(environment, FILE_VARIABLE));
-        return readFeed(readFile(file), file);
+        InetSocketAddress feed = readFeed(readFile(file), file);
+        if (feed.isUnresolved()) { throw invalid(file, "feed", "no address for " + feed.getHostString()); }
+        return feed;
     }
 
     private static InetSocketAddress readFeed(Map<String, Object> members, Path file) {
--- a/src/main/java/switchgap/server/platform/PlatformRouter.java
+++ b/src/main/java/switchgap/server/platform/PlatformRouter.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import switchgap.config.PropertyRouterSettings;
@@ -45,6 +46,7 @@
     private static final int SELECTOR_THREADS = 1;
     /** Time for a message to come whole. */
     private static final Duration MESSAGE_TIMEOUT = Duration.ofMillis(2000);
+    private static final Duration MAX_LOOP_WAIT = Duration.ofSeconds(2);
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(200);
 
     private final RateLimitedLog log;
@@ -208,12 +210,15 @@
         AtomicReference<ResourceUsage> usage = new AtomicReference<>();
         onLoop(core -> usage.set(new ResourceUsage(clients.held(), clients.connections(),
             workers.connections(), clients.busy())));
-        return usage.get();
+        ResourceUsage found = usage.get();
+        return found == null ? ResourceUsage.UNKNOWN : found;
     }
 
-    /** Runs an event on the loop, and waits for that. */
+    /** Runs an event on the loop, and waits for that, for a bounded time: nobody hangs behind a loop. */
     void onLoop(Consumer<RouterCore> event) throws InterruptedException {
-        post(event).await();
+        if (!post(event).await(MAX_LOOP_WAIT.toMillis(), TimeUnit.MILLISECONDS)) {
+            log.line("the loop did not come to an event within " + MAX_LOOP_WAIT);
+        }
     }
 
     /** Posts an event to the loop; the latch opens once it has run. */
--- a/src/main/java/switchgap/server/platform/ResourceUsage.java
+++ b/src/main/java/switchgap/server/platform/ResourceUsage.java
@@ -9,4 +9,7 @@
  * @param busyClientConnections  connections of clients with a request, a message or a response under way
  */
 record ResourceUsage(int pendingRequests, int clientConnections, int workerConnections,
-    int busyClientConnections) {}
+    int busyClientConnections) {
+    /** Where the loop did not say: something may be under way. */
+    static final ResourceUsage UNKNOWN = new ResourceUsage(0, 0, 0, 1);
+}
--- a/src/main/java/switchgap/server/platform/ServeCommand.java
+++ b/src/main/java/switchgap/server/platform/ServeCommand.java
@@ -1,7 +1,6 @@
 package switchgap.server.platform;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import switchgap.config.InvalidConfigException;
@@ -54,19 +53,9 @@
         SignalHandlers signals = new SignalHandlers();
         PlatformConfig config = PlatformConfig.read(System.getenv(), WallClock.unixMillis());
         PlatformRouter router = new PlatformRouter(config, log);
-        signals.onHangup(() -> followConfiguredFeed(router, log));
+        FeedReloader reloader = new FeedReloader(System.getenv(), router::follow, log);
+        signals.onHangup(reloader::reload);
         signals.awaitTermination();
         router.stop();
     }
-
-    private static void followConfiguredFeed(PlatformRouter router, RateLimitedLog log) {
-        try {
-            InetSocketAddress feed = PlatformConfig.readFeed(System.getenv());
-            log.line(
-                "SIGHUP: the control feed is followed at " + feed.getHostString() + ":" + feed.getPort());
-            router.follow(feed);
-        } catch (InvalidConfigException e) {
-            log.line("SIGHUP: the old feed is kept: " + e.getMessage());
-        }
-    }
 }
