--- a/src/main/java/switchgap/server/platform/FeedReloader.java
+++ b/src/main/java/switchgap/server/platform/FeedReloader.java
@@ -68,7 +68,8 @@
 
     private synchronized void follow(long signal, InetSocketAddress feed) {
         if (signal == lastSignal) {
-            log.line("SIGHUP: the control feed is followed at " + feed.getHostString() + ":" + feed.getPort());
+            log.line(
+                "SIGHUP: the control feed is followed at " + feed.getHostString() + ":" + feed.getPort());
             follower.follow(feed);
         }
     }
--- a/src/main/java/switchgap/soak/RouterProcess.java
+++ b/src/main/java/switchgap/soak/RouterProcess.java
@@ -3,6 +3,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -17,6 +18,7 @@
     private static final long READY_TIMEOUT_NANOS = 30_000_000_000L;
     private static final int HEARTBEAT_TIMEOUT_MILLIS = 2000;
     private static final long POLL_MILLIS = 10;
+    private static final String OWN_VIOLATION = "RULE_VIOLATED";
     private static final int EXIT_KILLED = 137;
     private static final int STOP_SECONDS = 8;
 
@@ -134,9 +136,10 @@
         }
     }
 
-    /** Processor time that the process has used. */
-    double processorSeconds() {
-        return process.info().totalCpuDuration().map(each -> each.toMillis() / 1000.0).orElse(0.0);
+    /** Lines of its log that tell of a rule that its own checks found broken. */
+    List<String> ownViolations() throws IOException {
+        return Files.readAllLines(directory.resolve("n" + index + ".log"),
+            StandardCharsets.ISO_8859_1).stream().filter(line -> line.contains(OWN_VIOLATION)).toList();
     }
 
     void destroy() {
--- a/src/main/java/switchgap/soak/Soak.java
+++ b/src/main/java/switchgap/soak/Soak.java
@@ -82,6 +82,7 @@
             playFaults(faults, new FaultRunner(routers, fleet, feed, records, active));
             stopClients();
             stopRouters();
+            readOwnChecks();
         } finally {
             Runtime.getRuntime().removeShutdownHook(ended);
             routers.forEach(RouterProcess::destroy);
@@ -181,6 +182,14 @@
         }
     }
 
+    /** A router whose own checks found a violation says so in its log. */
+    private void readOwnChecks() throws IOException {
+        for (RouterProcess router : routers) {
+            router.ownViolations().forEach(
+                line -> records.processFaults.add("router " + router.index + " says: " + line));
+        }
+    }
+
     private boolean report() {
         List<Violation> violations = new SoakJudge(records).judge();
         long served = records.requests.stream().filter(each -> each.end == ClientRequest.End.SERVED).count();
--- a/src/main/java/switchgap/soak/SoakJudge.java
+++ b/src/main/java/switchgap/soak/SoakJudge.java
@@ -221,7 +221,9 @@
 
     /** Requests a second that a warm worker had in the mean. */
     private double warmRate() {
-        long[] times = records.executions.stream().mapToLong(WorkerExecution::receivedNanos).toArray();
+        long[] times = records.executions.stream().filter(
+            each -> records.workers.get(each.worker()).startedNanos == 0).mapToLong(
+                WorkerExecution::receivedNanos).toArray();
         long warm = records.workers.values().stream().filter(each -> each.startedNanos == 0).count();
         long span = Arrays.stream(times).max().orElse(0) - Arrays.stream(times).min().orElse(0);
         return span == 0 ? 0 : times.length * 1e9 / span / Math.max(1, warm);
--- a/src/test/java/switchgap/server/platform/ServeProcessTest.java
+++ b/src/test/java/switchgap/server/platform/ServeProcessTest.java
@@ -140,10 +140,31 @@
             Files.writeString(file, config);
             start("");
             serves();
-            Files.writeString(file, config.replace("\"feed\":\"127.0.0.1:", "\"feed\":\"no-such-host.invalid:"));
+            Files.writeString(file,
+                config.replace("\"feed\":\"127.0.0.1:", "\"feed\":\"no-such-host.invalid:"));
             signal("HUP");
             await(() -> log().contains("SIGHUP"));
             assertThat(log()).contains("the old feed is kept").doesNotContain("is followed at no-such-host");
         }
     }
+
+    @Test void oneSearchFindsARequestsWholeWay() throws Exception {
+        file = dir.resolve("config.json");
+        variables.put("SWITCHGAP_TRACE", "1");
+        try (RespTestServer worker = new RespTestServer(RespTestServer::serveAll)) {
+            Files.writeString(file, config(256, worker));
+            start("");
+            try (ThriftTestClient client = new ThriftTestClient(serves())) {
+                client.ask(1, ThriftTestClient.fields("again", "00000000000000ab", 900, FUNCTION), "x");
+                assertThat(client.reply().field()).isZero();
+            }
+            signal("TERM");
+            endsWell();
+            assertThat(log().lines().filter(line -> line.contains("00000000000000ab")).map(
+                line -> line.split(" ")[1])).containsExactly("REQUEST_RECEIVED", "ATTEMPT_SENT",
+                    "ATTEMPT_ENDED", "REQUEST_ANSWERED");
+            assertThat(log()).containsPattern("CLIENT_CLOSED PEER_CLOSED c\\d+").contains(
+                "count REQUEST_ANSWERED SUCCEEDED 1");
+        }
+    }
 }
