Evictions in one look each 10 ms, events counted without text

Change: one look each interval evicts all that may go, oldest first; counters by kind and reason without a text.

--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -43,14 +43,14 @@
     private volatile boolean hasSentMessage;
     private final Supplier<Duration> clock;
     /** When it was opened, its last message was handled or its last reply was given to the socket. */
-    private volatile Duration lastActiveAt;
+    private volatile long lastActiveNanos;
 
     ClientConnection(TcpConnection connection, Supplier<Duration> clock, int maxUnsentBytes) {
         this.connection = connection;
         this.maxUnsentBytes = maxUnsentBytes;
         this.clock = clock;
-        lastActiveAt = clock.get();
-        receivingSince = lastActiveAt;
+        receivingSince = clock.get();
+        lastActiveNanos = receivingSince.toNanos();
     }
 
     boolean isOpen() {
@@ -72,7 +72,7 @@
             close(ClientCloseReason.REPLIES_UNREAD);
         } else {
             connection.send(reply);
-            lastActiveAt = clock.get();
+            lastActiveNanos = clock.get().toNanos();
         }
     }
 
@@ -125,7 +125,7 @@
 
     /** The event loop handles a message at this time. */
     void messageHandledAt(Duration now) {
-        lastActiveAt = now;
+        lastActiveNanos = now.toNanos();
     }
 
     /** The event loop handles the revoke itself. */
@@ -160,7 +160,7 @@
 
     /** Whether nothing was handled or sent on it for longer than a span. */
     boolean isQuiet(Duration now, Duration span) {
-        return now.minus(lastActiveAt).compareTo(span) > 0;
+        return now.toNanos() - lastActiveNanos > span.toNanos();
     }
 
     /** Whether its client has not taken all replies. */
@@ -175,7 +175,7 @@
     }
 
     /** When it was opened, its last message was handled or its last reply was sent. */
-    Duration lastActiveAt() {
-        return lastActiveAt;
+    long lastActiveNanos() {
+        return lastActiveNanos;
     }
 }
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
@@ -40,21 +40,23 @@
         }
     }
 
-    /**
-     * Evicts connections of no use while there are too many.
-     *
-     * @return false where there are still too many, as all others are in use
-     */
-    boolean evictExcess(Duration now) {
-        for (int excess = connections.size() - maxConnections; excess > 0; excess--) {
-            ClientConnection evicted = evictionCandidate(now);
-            if (evicted == null) {
-                return false;
+    /** Evicts connections of no use while there are too many: the ones that are in use stay, however many. */
+    void evictExcess(Duration now) {
+        int excess = connections.size() - maxConnections;
+        if (excess <= 0) {
+            return;
+        }
+        List<ClientConnection> candidates = new ArrayList<>();
+        for (ClientConnection connection : connections) {
+            if (isEvictable(connection, now)) {
+                candidates.add(connection);
             }
+        }
+        candidates.sort((first, second) -> compareForEviction(first, second, now));
+        for (ClientConnection evicted : candidates.subList(0, Math.min(excess, candidates.size()))) {
             evicted.close(ClientCloseReason.EVICTED);
             connections.remove(evicted);
         }
-        return true;
     }
 
     void remove(ClientConnection connection) {
@@ -95,30 +97,18 @@
         }
     }
 
-    /**
-     * The connection that is silent, or else has been of no use for longest; null where all are in use.
-     */
-    private ClientConnection evictionCandidate(Duration now) {
-        ClientConnection candidate = null;
-        for (ClientConnection connection : connections) {
-            if (isEvictable(connection, now)
-                && (candidate == null || goesBefore(connection, candidate, now))) {
-                candidate = connection;
-            }
-        }
-        return candidate;
-    }
-
     private boolean isEvictable(ClientConnection connection, Duration now) {
         Duration quiet = connection.hasUnsentReplies() ? receiveTimeout : QUIET_FOR;
         return connection.isOpen() && connection.isIdle() && connection.isQuiet(now, quiet);
     }
 
-    private boolean goesBefore(ClientConnection first, ClientConnection second, Duration now) {
+    /** Silent ones go first, then the one that has been of no use for longest. */
+    private int compareForEviction(ClientConnection first, ClientConnection second, Duration now) {
         boolean isFirstSilent = first.isSilent(now, silentTimeout);
-        if (isFirstSilent != second.isSilent(now, silentTimeout)) {
-            return isFirstSilent;
+        boolean isSecondSilent = second.isSilent(now, silentTimeout);
+        if (isFirstSilent != isSecondSilent) {
+            return isFirstSilent ? -1 : 1;
         }
-        return first.lastActiveAt().compareTo(second.lastActiveAt()) < 0;
+        return Long.compare(first.lastActiveNanos(), second.lastActiveNanos());
     }
 }
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -41,7 +41,7 @@
     /** Connections that wait to be accepted. */
     private static final int ACCEPT_BACKLOG = 512;
     /** Between looks for connections that may be evicted, while there are too many. */
-    private static final Duration EVICTION_INTERVAL = Duration.ofMillis(20);
+    private static final Duration EVICTION_INTERVAL = Duration.ofMillis(10);
 
     private final ConnectionLimits limits;
     private final Supplier<Duration> clock;
@@ -114,7 +114,7 @@
         updateAccepting();
         eventLoop.accept(core -> {
             connections.add(connection);
-            evictExcess(core);
+            scheduleEviction(core);
         });
     }
 
@@ -220,14 +220,14 @@
 
     // ------------------------------------------------------------------ on the event loop
 
-    /** Evicts what may go; where that is not enough, looks again soon. */
-    private void evictExcess(RouterCore core) {
-        boolean enough = connections.evictExcess(core.now());
-        if (!enough && !evictionScheduled) {
+    /** While there are too many connections, evicts what may go each interval: one look serves many. */
+    private void scheduleEviction(RouterCore core) {
+        if (!evictionScheduled && connections.size() > limits.maxConnections) {
             evictionScheduled = true;
             core.schedule(core.now().plus(EVICTION_INTERVAL), () -> {
                 evictionScheduled = false;
-                evictExcess(core);
+                connections.evictExcess(core.now());
+                scheduleEviction(core);
             });
         }
     }
--- a/src/main/java/switchgap/router/RouterEvents.java
+++ b/src/main/java/switchgap/router/RouterEvents.java
@@ -1,5 +1,7 @@
 package switchgap.router;
 
+import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -36,7 +38,8 @@
 
     private final Consumer<String> lines;
     private final Consumer<String> traces;
-    private final Map<String, Long> counts = new TreeMap<>();
+    /** By kind and reason; reasons are a bounded set of words. */
+    private final Map<Kind, Map<String, long[]>> counts = new EnumMap<>(Kind.class);
 
     /**
      * Events of one router.
@@ -47,6 +50,9 @@
     public RouterEvents(Consumer<String> lines, Consumer<String> traces) {
         this.lines = lines;
         this.traces = traces;
+        for (Kind kind : Kind.values()) {
+            counts.put(kind, new HashMap<>());
+        }
     }
 
     /** Writes a line, whether events are traced or not. */
@@ -68,7 +74,7 @@
      */
     public void record(Kind kind, String reason, String id, Object detail) {
         synchronized (counts) {
-            counts.merge(kind + SEPARATOR + reason, 1L, Long::sum);
+            counts.get(kind).computeIfAbsent(reason, word -> new long[1])[0]++;
         }
         if (traces != null) {
             traces.accept(kind + SEPARATOR + reason + SEPARATOR + id + SEPARATOR + detail);
@@ -88,14 +94,18 @@
 
     /** How often each kind happened for each reason, in the order of their names. */
     public Map<String, Long> counts() {
+        Map<String, Long> all = new TreeMap<>();
         synchronized (counts) {
-            return new TreeMap<>(counts);
+            counts.forEach((kind, reasons) -> reasons.forEach(
+                (reason, count) -> all.put(kind + SEPARATOR + reason, count[0])));
         }
+        return all;
     }
 
     /** How often a kind happened, whatever the reason. */
     public long count(Kind kind) {
-        return counts().entrySet().stream().filter(
-            each -> each.getKey().startsWith(kind + SEPARATOR)).mapToLong(Map.Entry::getValue).sum();
+        synchronized (counts) {
+            return counts.get(kind).values().stream().mapToLong(count -> count[0]).sum();
+        }
     }
 }
