--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -35,6 +35,8 @@
      */
     private final Map<Integer, Duration> revokedAt = new ConcurrentHashMap<>();
     private volatile boolean hasPartialMessage;
+    /** Whether the event loop is about to evict it; what is read from now on is refused. */
+    private volatile boolean evicting;
     /**
      * Time of the connect, or of the first byte of a message that has not come whole; null while nothing is
      * expected.
@@ -101,6 +103,11 @@
         receivingSince = null;
     }
 
+    /** Whether the event loop is about to evict it. */
+    boolean isEvicting() {
+        return evicting;
+    }
+
     /** Messages that wait for the event loop. */
     int queuedMessages() {
         return queuedMessages.get();
@@ -118,6 +125,22 @@
 
     // ------------------------------------------------------------------ on the event loop
 
+    /**
+     * Evicts the connection, unless the selector thread has read something just now: either it sees the
+     * eviction and refuses the message, or this side sees the message and lets the connection be.
+     *
+     * @return whether it is closed
+     */
+    boolean evict() {
+        evicting = true;
+        if (!isIdle()) {
+            evicting = false;
+            return false;
+        }
+        close(ClientCloseReason.EVICTED);
+        return true;
+    }
+
     /** A queued message has reached the event loop. */
     void messageDequeued() {
         queuedMessages.decrementAndGet();
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
@@ -54,8 +54,9 @@
         }
         candidates.sort((first, second) -> compareForEviction(first, second, now));
         for (ClientConnection evicted : candidates.subList(0, Math.min(excess, candidates.size()))) {
-            evicted.close(ClientCloseReason.EVICTED);
-            connections.remove(evicted);
+            if (evicted.evict()) {
+                connections.remove(evicted);
+            }
         }
     }
 
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -188,7 +188,7 @@
 
     private void enqueue(ClientConnection connection, ThriftMessage message, int messageBytes, Duration now) {
         boolean isRevoke = message.method().equals(WireNames.REVOKE);
-        boolean fits = connection.messageQueued() <= MAX_QUEUED_MESSAGES;
+        boolean fits = connection.messageQueued() <= MAX_QUEUED_MESSAGES && !connection.isEvicting();
         if (!fits && isRevoke) {
             connection.close(ClientCloseReason.QUEUE_OVERFLOW); // it has no reply that could refuse it
             return;
