Known red: connections that can write nothing more are never closed

Cause: Grizzly's closeSilently is graceful: it queues an empty write and closes behind it (NIOConnection.closeGracefully0). Behind replies that a client does not take, or behind a write that failed, it never comes: the descriptor and the bytes stay, while the account says that they are free. The event stream's new connections were so left open without a request after failed writes, and the router stayed deaf.

--- a/src/test/java/switchgap/server/platform/SystemCallFailureTest.java
+++ b/src/test/java/switchgap/server/platform/SystemCallFailureTest.java
@@ -35,7 +35,7 @@
     }
 
     private int startWithFaults(RespTestServer... workers) throws Exception {
-        faults = SystemCallFaults.of(library, dir.resolve("faults"));
+        faults = faults == null ? SystemCallFaults.of(library, dir.resolve("faults")) : faults;
         variables.putAll(faults.environment());
         file = dir.resolve("config.json");
         Files.writeString(file, config(256, workers));
@@ -58,6 +58,22 @@
         return served;
     }
 
+    /** Clients one after the other; counts the requests that had any answer. */
+    private static int answered(int port, int clients) throws Exception {
+        int answered = 0;
+        for (int client = 0; client < clients; client++) {
+            try (ThriftTestClient connection = new ThriftTestClient(port)) {
+                for (int number = 1; number <= REQUESTS_PER_CLIENT; number++) {
+                    String id = String.format("%016x", 0x100000L + client * 100L + number);
+                    String function = String.format("%016x", client); // some at each worker
+                    connection.ask(number, ThriftTestClient.fields("again", id, 900, function), "x");
+                    answered += connection.reply() == null ? 0 : 1;
+                }
+            }
+        }
+        return answered;
+    }
+
     private static int servedOnOneConnection(int port, int client) throws Exception {
         int served = 0;
         try (ThriftTestClient connection = new ThriftTestClient(port)) {
@@ -243,4 +259,35 @@
             endsWell();
         }
     }
+
+    /** Connections to workers break, each in a way of its own: every client has an answer all the same. */
+    @ParameterizedTest @CsvSource({"READ,ETIMEDOUT,5", "READ,EHOSTUNREACH,5", "WRITE,ETIMEDOUT,5",
+        "WRITE,EHOSTUNREACH,5", "READ,EINTR,2", "WRITE,EINTR,2", "READ,SHORT,1"})
+    void whatBreaksTowardsAWorkerLeavesNobodyWithoutAnAnswer(Call call, ErrorNumber error, int every)
+        throws Exception {
+        try (RespTestServer worker = new RespTestServer(RespTestServer::serveAll);
+            RespTestServer other = new RespTestServer(RespTestServer::serveAll)) {
+            int port = startWithFaults(worker, other);
+            faults.inject(call, error, every, Integer.parseInt(worker.at().substring(10)));
+            assertThat(answered(port, CLIENTS)).as(log()).isEqualTo(CLIENTS * REQUESTS_PER_CLIENT);
+            assertThat(faults.touched(call)).isPositive();
+            faults.clear();
+            assertThat(served(port)).as("as before: " + log()).isEqualTo(CLIENTS * REQUESTS_PER_CLIENT);
+        }
+    }
+
+    /** The event stream's connection breaks again and again: requests are served, and it is followed in the end. */
+    @ParameterizedTest @CsvSource({"READ,ETIMEDOUT,2", "WRITE,EHOSTUNREACH,1", "READ,EINTR,2"})
+    void whatBreaksTowardsTheEventStreamTouchesNoRequest(Call call, ErrorNumber error, int every)
+        throws Exception {
+        try (RespTestServer worker = new RespTestServer(RespTestServer::serveAll)) {
+            faults = SystemCallFaults.of(library, dir.resolve("faults"));
+            faults.inject(call, error, every, feed.at().getPort());
+            int port = startWithFaults(worker);
+            assertThat(served(port)).as(log()).isEqualTo(CLIENTS * REQUESTS_PER_CLIENT);
+            faults.clear();
+            if (call == Call.WRITE) { await(() -> !feed.asked.isEmpty()); } // it could not ask before
+            assertThat(served(port)).as(log()).isEqualTo(CLIENTS * REQUESTS_PER_CLIENT);
+        }
+    }
 }
