A close ends within half a second, whatever nobody reads; accepts eight at a time

Change: ConnectionCloser gives the graceful close 0.5 s and then ends the connection, for clients, workers, feed, HTTP and planner link alike; SocketFilter.Message ends it at once where a write fails; the event stream notices a connection that ended before it was asked. Measured: ConnectionCloserTest and whatBreaksTowardsTheEventStream red before, green now; tests of net, feed, eviction and descriptors green.

--- a/src/main/java/switchgap/endpoints/EventStreamClient.java
+++ b/src/main/java/switchgap/endpoints/EventStreamClient.java
@@ -124,7 +124,9 @@
         latestConnection = opened;
         Map<String, String> headers = Map.of("Last-Event-ID", String.valueOf(lastSequence), "Accept",
             "text/event-stream");
-        opened.send("GET", "/v1/events", headers, new byte[0], new StreamHandler(attempt));
+        if (!opened.send("GET", "/v1/events", headers, new byte[0], new StreamHandler(attempt))) {
+            disconnected(attempt, "it ended before it was asked");
+        }
     }
 
     private synchronized void disconnected(long attempt, String reason) {
--- a/src/main/java/switchgap/net/HttpClientConnection.java
+++ b/src/main/java/switchgap/net/HttpClientConnection.java
@@ -140,7 +140,7 @@
         @SuppressWarnings({"unchecked", "rawtypes"}) Connection<Object> output = (Connection) connection;
         output.write(packet, new EmptyCompletionHandler<>() {
             @Override public void failed(Throwable cause) {
-                connection.closeSilently();
+                ConnectionCloser.close(connection);
                 connectionEnded("write failed: " + cause.getMessage());
             }
         });
@@ -156,7 +156,7 @@
 
     /** Closes the connection; a pending exchange hears of it. Any thread. */
     public void close() {
-        connection.closeSilently();
+        ConnectionCloser.close(connection);
     }
 
     boolean hasPendingExchange() {
--- a/src/main/java/switchgap/net/HttpExchange.java
+++ b/src/main/java/switchgap/net/HttpExchange.java
@@ -123,7 +123,7 @@
     /** Closes the connection without a response. */
     public void drop() {
         responded.set(true);
-        connection.closeSilently();
+        ConnectionCloser.close(connection);
     }
 
     /**
@@ -138,7 +138,7 @@
         RawBytesWriter.write(connection, bytes, new EmptyCompletionHandler<>() {
             @Override public void completed(WriteResult<WritableMessage, SocketAddress> result) {
                 if (close) {
-                    connection.closeSilently();
+                    ConnectionCloser.close(connection);
                 }
             }
         });
@@ -162,7 +162,7 @@
         if (last && !response.getProcessingState().isKeepAlive()) {
             output.write(packet, new EmptyCompletionHandler<>() {
                 @Override public void completed(WriteResult result) {
-                    connection.closeSilently();
+                    ConnectionCloser.close(connection);
                 }
             });
         } else {
--- a/src/main/java/switchgap/net/HttpServer.java
+++ b/src/main/java/switchgap/net/HttpServer.java
@@ -114,7 +114,7 @@
         }
         openConnections.forEach(connection -> {
             if (states.get(connection).isOverdue(now, limits, pauses)) {
-                connection.closeSilently();
+                ConnectionCloser.close(connection);
             }
         });
     }
@@ -125,6 +125,6 @@
         if (sweeper != null) {
             sweeper.cancel(false);
         }
-        openConnections.forEach(Connection::closeSilently);
+        openConnections.forEach(ConnectionCloser::close);
     }
 }
--- a/src/main/java/switchgap/net/RawBytesWriter.java
+++ b/src/main/java/switchgap/net/RawBytesWriter.java
@@ -17,6 +17,6 @@
         CompletionHandler<WriteResult<WritableMessage, SocketAddress>> completionHandler) {
         TCPNIOTransport transport = (TCPNIOTransport) connection.getTransport();
         transport.getAsyncQueueIO().getWriter().write((NIOConnection) connection,
-            new SocketFilter.Message(bytes), completionHandler);
+            new SocketFilter.Message(connection, bytes), completionHandler);
     }
 }
--- a/src/main/java/switchgap/net/RequestAssemblyFilter.java
+++ b/src/main/java/switchgap/net/RequestAssemblyFilter.java
@@ -58,7 +58,7 @@
         Connection<?> connection = context.getConnection();
         ServerConnectionState state = states.get(connection);
         if (state.pendingExchange() != null) { // a further request: pipelining is not supported
-            connection.closeSilently();
+            ConnectionCloser.close(connection);
             return context.getStopAction();
         }
         HttpRequestPacket request = (HttpRequestPacket) part.getHttpHeader();
--- a/src/main/java/switchgap/net/SelectorRounds.java
+++ b/src/main/java/switchgap/net/SelectorRounds.java
@@ -17,6 +17,8 @@
 final class SelectorRounds extends DefaultSelectorHandler {
     /** An idle selector looks at its sockets so often; a longer gap tells that it was held up. */
     private static final long SELECT_TIMEOUT_MILLIS = 50;
+    /** A shorter delay counts as none; one to be accepted and one to be read add up. */
+    private static final Duration UNNOTICED_DELAY = Duration.ofMillis(65);
     /** Rounds in which a message of the usual size, longer than one read, comes whole. */
     private static final int ROUNDS_PER_MESSAGE = 3;
 
@@ -64,7 +66,7 @@
      */
     static Duration possibleDelay() {
         Duration delay = Duration.ofNanos(System.nanoTime() - LOOKS.get().previousNanos);
-        return delay.compareTo(PauseDetector.THRESHOLD) > 0 ? delay : Duration.ZERO;
+        return delay.compareTo(UNNOTICED_DELAY) > 0 ? delay : Duration.ZERO;
     }
 
     /** Waits until all that stands in the sockets now has been read; not for selector threads. */
--- a/src/main/java/switchgap/net/SelectorThreadStrategy.java
+++ b/src/main/java/switchgap/net/SelectorThreadStrategy.java
@@ -19,6 +19,8 @@
  */
 @SuppressWarnings("rawtypes") final class SelectorThreadStrategy implements IOStrategy {
     private static final long ACCEPT_RETRY_DELAY_MILLIS = 20;
+    /** One at a time, clients that came together would wait for as many rounds of the selector. */
+    private static final int MAX_ACCEPTS_AT_ONCE = 8;
 
     /** How long the client that a selector thread accepts just now may have waited. */
     private static final ThreadLocal<Duration> ACCEPT_DELAY = ThreadLocal.withInitial(() -> Duration.ZERO);
@@ -42,9 +44,11 @@
         AcceptHoldUp holdUp = AcceptHoldUp.of(listener);
         try {
             holdUp.selectorHeldUp(SelectorRounds.possibleDelay());
-            ACCEPT_DELAY.set(holdUp.possibleDelay());
-            listener.onAccept();
-            holdUp.end();
+            for (int accepts = 0; accepts < MAX_ACCEPTS_AT_ONCE; accepts++) {
+                ACCEPT_DELAY.set(holdUp.possibleDelay());
+                listener.onAccept(); // takes none up where none waits
+                holdUp.end();
+            }
         } catch (IOException e) {
             if (listener.isOpen()) {
                 holdUp.begin();
--- a/src/main/java/switchgap/net/SocketFilter.java
+++ b/src/main/java/switchgap/net/SocketFilter.java
@@ -80,7 +80,7 @@
     @Override public NextAction handleWrite(FilterChainContext context) throws IOException {
         Object message = context.getMessage();
         if (message instanceof Buffer bytes && bytes.hasRemaining()) {
-            context.setMessage(new Message(bytes));
+            context.setMessage(new Message(context.getConnection(), bytes));
         }
         return super.handleWrite(context);
     }
@@ -97,22 +97,26 @@
      * the queue's space whatever their length, and none is joined with others.
      */
     static final class Message implements FileChunk {
+        private final Connection<?> connection;
         private final ByteBuffer bytes;
         private final Buffer source;
 
         /** A message of these bytes, which must not be changed from then on. */
-        Message(byte[] bytes) {
+        Message(Connection<?> connection, byte[] bytes) {
+            this.connection = connection;
             this.bytes = ByteBuffer.wrap(bytes);
             this.source = null;
         }
 
-        private Message(Buffer source) {
+        private Message(Connection<?> connection, Buffer source) {
+            this.connection = connection;
             this.bytes = source.toByteBuffer().slice();
             this.source = source;
         }
 
         /**
-         * Writes what the socket takes.
+         * Writes what the socket takes. A connection that can't be written to is closed at once, as nothing
+         * that is queued on it can go out any more.
          *
          * @return the queue's space that is given back: one unit once all is written, else none
          */
@@ -136,6 +140,9 @@
             bytes.limit(Math.min(end, bytes.position() + MAX_WRITE_BYTES));
             try {
                 return channel.write(bytes);
+            } catch (IOException e) {
+                connection.terminateSilently();
+                throw e;
             } finally {
                 bytes.limit(end);
             }
--- a/src/main/java/switchgap/net/TcpConnection.java
+++ b/src/main/java/switchgap/net/TcpConnection.java
@@ -126,7 +126,7 @@
     /** Closes the connection, unless it is closed; the listener hears of it with this reason. Any thread. */
     public void close(String reason) {
         if (closed.compareAndSet(false, true)) {
-            connection.closeSilently();
+            ConnectionCloser.close(connection);
             listener.closed(this, reason);
         }
     }
@@ -189,7 +189,7 @@
 
         /** Stops accepting connections; open ones stay. */
         @Override public void close() {
-            connection.closeSilently();
+            ConnectionCloser.close(connection);
         }
     }
 
