--- a/src/main/java/switchgap/net/AcceptHoldUp.java
+++ b/src/main/java/switchgap/net/AcceptHoldUp.java
@@ -19,31 +19,60 @@
 
     private long heldUpSinceNanos = NONE;
     private long resumedNanos = NONE;
+    private boolean failing;
+    private boolean paused;
 
     /** That of a listener. */
     static AcceptHoldUp of(Connection<?> listener) {
         return OF_LISTENER.get(listener);
     }
 
-    /** Nothing is accepted from now on. */
-    synchronized void begin() {
+    /** An accept failed; others will. */
+    synchronized void failed() {
+        hold();
+        failing = true;
+    }
+
+    /** An accept did not fail. */
+    synchronized void accepted() {
+        failing = false;
+        release();
+    }
+
+    /** Nothing is accepted from now on, on purpose. */
+    synchronized void paused() {
+        hold();
+        paused = true;
+    }
+
+    /** What was paused goes on. */
+    synchronized void resumed() {
+        paused = false;
+        release();
+    }
+
+    /** Whether nothing is to be accepted. */
+    synchronized boolean isPaused() {
+        return paused;
+    }
+
+    private void hold() {
         if (possibleDelay().isZero()) {
             heldUpSinceNanos = System.nanoTime();
         }
         resumedNanos = NONE;
     }
 
-    /** The selector looks again after it was held up for so long; zero where it was not. */
-    synchronized void selectorHeldUp(Duration delay) {
-        if (!delay.isZero() && possibleDelay().compareTo(delay) < 0) {
-            heldUpSinceNanos = System.nanoTime() - delay.toNanos();
+    private void release() {
+        if (!failing && !paused && heldUpSinceNanos != NONE && resumedNanos == NONE) {
             resumedNanos = System.nanoTime();
         }
     }
 
-    /** Connections are accepted again. */
-    synchronized void end() {
-        if (heldUpSinceNanos != NONE && resumedNanos == NONE) {
+    /** The selector looks again after it was held up for so long; zero where it was not. */
+    synchronized void selectorHeldUp(Duration delay) {
+        if (!delay.isZero() && possibleDelay().compareTo(delay) < 0) {
+            heldUpSinceNanos = System.nanoTime() - delay.toNanos();
             resumedNanos = System.nanoTime();
         }
     }
--- a/src/main/java/switchgap/net/SelectorThreadStrategy.java
+++ b/src/main/java/switchgap/net/SelectorThreadStrategy.java
@@ -44,14 +44,14 @@
         AcceptHoldUp holdUp = AcceptHoldUp.of(listener);
         try {
             holdUp.selectorHeldUp(SelectorRounds.possibleDelay());
-            for (int accepts = 0; accepts < MAX_ACCEPTS_AT_ONCE; accepts++) {
+            for (int accepts = 0; accepts < MAX_ACCEPTS_AT_ONCE && !holdUp.isPaused(); accepts++) {
                 ACCEPT_DELAY.set(holdUp.possibleDelay());
                 listener.onAccept(); // takes none up where none waits
-                holdUp.end();
+                holdUp.accepted();
             }
         } catch (IOException e) {
             if (listener.isOpen()) {
-                holdUp.begin();
+                holdUp.failed();
                 listener.disableIOEvent(IOEvent.SERVER_ACCEPT);
                 TimerThread.EXECUTOR.schedule(() -> acceptAgain(listener), ACCEPT_RETRY_DELAY_MILLIS,
                     TimeUnit.MILLISECONDS);
--- a/src/main/java/switchgap/net/TcpConnection.java
+++ b/src/main/java/switchgap/net/TcpConnection.java
@@ -169,7 +169,7 @@
 
         /** Leaves further connections to the system's backlog, until {@link #resume}. Any thread. */
         public void pause() {
-            AcceptHoldUp.of(connection).begin();
+            AcceptHoldUp.of(connection).paused();
             try {
                 connection.disableIOEvent(IOEvent.SERVER_ACCEPT);
             } catch (IOException | CancelledKeyException e) {
@@ -179,7 +179,7 @@
 
         /** Accepts connections again. Any thread. */
         public void resume() {
-            AcceptHoldUp.of(connection).end();
+            AcceptHoldUp.of(connection).resumed();
             try {
                 connection.enableIOEvent(IOEvent.SERVER_ACCEPT);
             } catch (IOException | CancelledKeyException e) {
