--- a/src/main/java/switchgap/protocol/resp/RespConnectionPool.java
+++ b/src/main/java/switchgap/protocol/resp/RespConnectionPool.java
@@ -122,12 +122,14 @@
     }
 
     private void send(PendingExchange exchange, RespConnection connection) {
-        if (!maySend(exchange)
-            || !connection.tcp.send(exchange.command(manager.nowNanos(), manager.rules()))) { // no byte of it went out
+        long nowNanos = manager.nowNanos();
+        boolean sent = exchange.maySend(nowNanos)
+            && connection.tcp.send(exchange.command(nowNanos, manager.rules()));
+        if (!sent) { // no byte of it went out
             endLater(exchange, AttemptOutcome.NOT_SENT);
             return;
         }
-        exchange.sent(connection, manager.nowNanos());
+        exchange.sent(connection, nowNanos);
         connection.lastUsedNanos = exchange.sentNanos();
         if (exchange.id != null) {
             connection.inFlight.put(exchange.id, exchange);
--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -46,6 +46,7 @@
     private final Supplier<Duration> clock;
     /** When it was opened, its last message was handled or its last reply was given to the socket. */
     private volatile long lastActiveNanos;
+    private volatile Duration closedAt;
 
     ClientConnection(TcpConnection connection, Supplier<Duration> clock, int maxUnsentBytes) {
         this.connection = connection;
@@ -103,6 +104,16 @@
         receivingSince = null;
     }
 
+    /** The end of the connection was seen. */
+    void closed() {
+        closedAt = clock.get();
+    }
+
+    /** When the end of the connection was seen, or null. */
+    Duration closedAt() {
+        return closedAt;
+    }
+
     /** Whether the event loop is about to evict it. */
     boolean isEvicting() {
         return evicting;
--- a/src/main/java/switchgap/protocol/thrift/RequestHandler.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestHandler.java
@@ -277,6 +277,11 @@
             responded(request, late);
         }
 
+        @Override public Duration disconnectedAt() {
+            Duration revokedAt = connection.revokedAt(sequenceId);
+            return revokedAt == null ? connection.closedAt() : revokedAt;
+        }
+
         @Override public boolean isDisconnected() {
             return !connection.isOpen() || connection.isRevoked(sequenceId);
         }
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -130,6 +130,7 @@
         openConnections.decrementAndGet();
         updateAccepting();
         ClientConnection connection = connectionOf(tcp);
+        connection.closed();
         eventLoop.accept(core -> requests.connectionClosed(core, connection, reason));
     }
 
--- a/src/main/java/switchgap/router/ResponseListener.java
+++ b/src/main/java/switchgap/router/ResponseListener.java
@@ -1,5 +1,7 @@
 package switchgap.router;
 
+import java.time.Duration;
+
 /** Is told once, on the event loop, how an accepted request ended. */
 public interface ResponseListener {
     /** The one final response. */
@@ -18,4 +20,9 @@
     default boolean isDisconnected() {
         return false;
     }
+
+    /** When the client was seen to have gone, since the router's start; null where it was not, or just now. */
+    default Duration disconnectedAt() {
+        return null;
+    }
 }
--- a/src/main/java/switchgap/router/RuleChecker.java
+++ b/src/main/java/switchgap/router/RuleChecker.java
@@ -15,7 +15,7 @@
     public enum Rule {
         /** An attempt goes out for a request that has its answer. */
         ATTEMPT_AFTER_ANSWER,
-        /** An attempt goes out for a client that has gone. */
+        /** An attempt goes out for a client that was seen to have gone over 0.1 s ago. */
         ATTEMPT_FOR_GONE_CLIENT,
         /** An attempt goes out to a worker that drains or is gone. */
         ATTEMPT_TO_DRAINING_WORKER,
@@ -40,6 +40,7 @@
     private static final String FIRST = "first";
     private static final String FURTHER = "further";
     private static final Duration LOG_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration GONE_SLACK = Duration.ofMillis(100);
     private static final Duration TIME_SLACK = Duration.ofMillis(150);
 
     private final RouterSettings settings;
@@ -70,7 +71,9 @@
     public void attemptSent(Attempt attempt, Duration passedOn, Duration now) {
         PendingRequest request = attempt.request;
         check(request.state() == PendingRequest.State.PENDING, Rule.ATTEMPT_AFTER_ANSWER, request.id, now);
-        check(!request.listener.isDisconnected(), Rule.ATTEMPT_FOR_GONE_CLIENT, request.id, now);
+        Duration goneAt = request.listener.disconnectedAt();
+        boolean isGone = goneAt != null && now.minus(goneAt).compareTo(GONE_SLACK) > 0;
+        check(!isGone, Rule.ATTEMPT_FOR_GONE_CLIENT, request.id, now);
         check(attempt.worker.accepting, Rule.ATTEMPT_TO_DRAINING_WORKER, request.id, now);
         check(now.compareTo(request.deadline) < 0, Rule.ATTEMPT_AFTER_DEADLINE, request.id, now);
         Duration left = request.deadline.minus(now).plus(TIME_SLACK);
