The linter is clean: comments wrapped, the soak's faults played by a table

Change: comments alone in the router's code; FaultRunner looks up who plays a fault. Measured: mvn verify without tests passes formatter and linter.

--- a/src/main/java/switchgap/cli/SoakCommand.java
+++ b/src/main/java/switchgap/cli/SoakCommand.java
@@ -14,12 +14,14 @@
 
 /** Plays real router processes on loopback under faults that a seed draws. */
 @Command(name = "soak", mixinStandardHelpOptions = true, //
-    description = "Router processes under overlapping faults drawn from a seed, judged by what clients and workers saw.") //
+    description = "Router processes under faults from a seed, judged by what clients and workers saw.") //
 final class SoakCommand implements Callable<Integer> {
-    @Option(names = "--seed", defaultValue = "1", description = "of the faults (default: ${DEFAULT-VALUE})") //
+    @Option(names = "--seed", defaultValue = "1", //
+        description = "of the faults (default: ${DEFAULT-VALUE})") //
     private long seed;
 
-    @Option(names = "--routers", defaultValue = "24", description = "processes (default: ${DEFAULT-VALUE})") //
+    @Option(names = "--routers", defaultValue = "24", //
+        description = "processes (default: ${DEFAULT-VALUE})") //
     private int routers;
 
     @Option(names = "--seconds", defaultValue = "20", description = "of load (default: ${DEFAULT-VALUE})") //
--- a/src/main/java/switchgap/net/HttpServer.java
+++ b/src/main/java/switchgap/net/HttpServer.java
@@ -32,7 +32,10 @@
         default void clientLeft(HttpExchange exchange) {}
     }
 
-    /** Grizzly measures idle connections by the wall clock (DelayedExecutor), so they are swept here instead. */
+    /**
+     * Grizzly measures idle connections by the wall clock (DelayedExecutor), so they are swept here
+     * instead.
+     */
     private static final DelayedExecutor NO_IDLE_TIMERS = null;
     private static final String DEFAULT_CONTENT_TYPE = "text/plain";
     private static final int UNLIMITED_REQUESTS = -1;
--- a/src/main/java/switchgap/net/PauseHistory.java
+++ b/src/main/java/switchgap/net/PauseHistory.java
@@ -5,7 +5,10 @@
 
 /** The pauses of the process in the last while, to be taken out of spans. Not thread-safe. */
 public final class PauseHistory {
-    /** Older ones are forgotten past so many: each lasted for {@link PauseDetector#THRESHOLD} at the least. */
+    /**
+     * Older ones are forgotten past so many: each lasted for {@link PauseDetector#THRESHOLD} at the
+     * least.
+     */
     private static final int MAX_PAUSES = 64;
 
     private record Pause(Duration end, Duration length) {}
--- a/src/main/java/switchgap/net/SelectorRounds.java
+++ b/src/main/java/switchgap/net/SelectorRounds.java
@@ -28,8 +28,9 @@
         private long previousNanos = latestNanos;
 
         /**
-         * A call of select has ended. One that was stopped and continued by signals ends with nothing, whatever
-         * is ready (Linux interrupts epoll_wait then, and the JDK finds its timeout over): that was no look.
+         * A call of select has ended. One that was stopped and continued by signals ends with nothing,
+         * whatever is ready (Linux interrupts epoll_wait then, and the JDK finds its timeout over): that
+         * was no look.
          */
         private void looked(long beganNanos, long nowNanos, boolean foundNothing) {
             boolean heldUp = nowNanos - beganNanos > PauseDetector.THRESHOLD.toNanos();
@@ -61,8 +62,8 @@
     }
 
     /**
-     * How long what this selector thread reads now may have stood unread: it was not there at the look before.
-     * Zero where the thread was not held up.
+     * How long what this selector thread reads now may have stood unread: it was not there at the look
+     * before. Zero where the thread was not held up.
      */
     static Duration possibleDelay() {
         Duration delay = Duration.ofNanos(System.nanoTime() - LOOKS.get().previousNanos);
--- a/src/main/java/switchgap/net/SelectorThreadStrategy.java
+++ b/src/main/java/switchgap/net/SelectorThreadStrategy.java
@@ -14,8 +14,8 @@
 
 /**
  * Handles each event on its selector thread. An accept that fails is tried again after a delay: Grizzly 4.0.2
- * ({@code TCPNIOTransport.fireIOEvent}, {@code SERVER_ACCEPT}) drops the failure and leaves the event ready, so
- * that the selector would spin for as long as descriptors or memory are short.
+ * ({@code TCPNIOTransport.fireIOEvent}, {@code SERVER_ACCEPT}) drops the failure and leaves the event
+ * ready, so that the selector would spin for as long as descriptors or memory are short.
  */
 @SuppressWarnings("rawtypes") final class SelectorThreadStrategy implements IOStrategy {
     private static final long ACCEPT_RETRY_DELAY_MILLIS = 20;
--- a/src/main/java/switchgap/net/SocketFilter.java
+++ b/src/main/java/switchgap/net/SocketFilter.java
@@ -16,8 +16,8 @@
 import org.glassfish.grizzly.threadpool.Threads;
 
 /**
- * The first filter of each chain: moves bytes between the socket and the chain, and outlives system calls that
- * a signal interrupts.
+ * The first filter of each chain: moves bytes between the socket and the chain, and outlives system calls
+ * that a signal interrupts.
  *
  * <p>The JDK's channels return -3 ({@code sun.nio.ch.IOStatus.INTERRUPTED}) for such a call where they do not
  * block. Grizzly 4.0.2 takes it for the end of the stream ({@code TCPNIOTransport.read} and {@code
--- a/src/main/java/switchgap/policy/SlowStart.java
+++ b/src/main/java/switchgap/policy/SlowStart.java
@@ -61,7 +61,10 @@
         return Math.max(serialRate, averageWorkerRate * state.settings.routerCount);
     }
 
-    /** Whether this router may send one request now: in each turn, one window long, some of the routers may. */
+    /**
+     * Whether this router may send one request now: in each turn, one window long, some of the routers
+     * may.
+     */
     private boolean isOwnTurn(Worker worker, Duration window) {
         int routers = state.settings.routerCount;
         Duration age = state.now.minus(worker.startedAt);
--- a/src/main/java/switchgap/protocol/thrift/ClientCloseReason.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientCloseReason.java
@@ -1,8 +1,8 @@
 package switchgap.protocol.thrift;
 
 /**
- * Why a client's connection ends, and whether the reason is the client's own: only then may requests be held on
- * it that were read and have no answer.
+ * Why a client's connection ends, and whether the reason is the client's own: only then may requests be
+ * held on it that were read and have no answer.
  */
 enum ClientCloseReason {
     /** The client closed or reset it, or it broke. */
--- a/src/main/java/switchgap/protocol/thrift/RequestHandler.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestHandler.java
@@ -119,9 +119,9 @@
     }
 
     /**
-     * Whether a request's answer was due when its revoke was read. A client that gives up early is owed none; one
-     * whose time has run out sends a revoke, too, and the answer that it did not get is still owed: up to half
-     * a second late it only earns nothing.
+     * Whether a request's answer was due when its revoke was read. A client that gives up early is owed
+     * none; one whose time has run out sends a revoke, too, and the answer that it did not get is still
+     * owed: up to half a second late it only earns nothing.
      */
     private static boolean wasDue(PendingRequest request, Duration revokedAt) {
         return revokedAt.compareTo(request.deadline.minus(DEADLINE_SLACK)) >= 0;
--- a/src/main/java/switchgap/router/EndpointTable.java
+++ b/src/main/java/switchgap/router/EndpointTable.java
@@ -37,7 +37,10 @@
         return current != null && current.name.equals(worker.name);
     }
 
-    /** Takes in a version of the list, or its changes, at a time since the router's start; tells the policy. */
+    /**
+     * Takes in a version of the list, or its changes, at a time since the router's start; tells the
+     * policy.
+     */
     void update(boolean complete, List<EndpointUpdate> updates, Duration now, PolicyEvents policy) {
         firstListAt = firstListAt == null ? now : firstListAt;
         policy.endpointListStarted(complete);
--- a/src/main/java/switchgap/router/ResponseListener.java
+++ b/src/main/java/switchgap/router/ResponseListener.java
@@ -21,7 +21,10 @@
         return false;
     }
 
-    /** When the client was seen to have gone, since the router's start; null where it was not, or just now. */
+    /**
+     * When the client was seen to have gone, since the router's start; null where it was not, or just
+     * now.
+     */
     default Duration disconnectedAt() {
         return null;
     }
--- a/src/main/java/switchgap/router/RouterEvents.java
+++ b/src/main/java/switchgap/router/RouterEvents.java
@@ -7,9 +7,9 @@
 import java.util.function.Consumer;
 
 /**
- * What happens to requests and connections: counted by kind and reason, and told in a line each where lines are
- * wanted. A line is {@code kind reason id detail}, so that one search for a request's id finds its whole way.
- * Counting is cheap; a detail becomes text only for a line. Thread-safe.
+ * What happens to requests and connections: counted by kind and reason, and told in a line each where
+ * lines are wanted. A line is {@code kind reason id detail}, so that one search for a request's id finds
+ * its whole way. Counting is cheap; a detail becomes text only for a line. Thread-safe.
  */
 public final class RouterEvents {
     /** What happened. */
--- a/src/main/java/switchgap/server/platform/FeedReloader.java
+++ b/src/main/java/switchgap/server/platform/FeedReloader.java
@@ -5,9 +5,9 @@
 import switchgap.config.InvalidConfigException;
 
 /**
- * Follows the event stream that the configuration file names after a SIGHUP. A file that can't be used is read
- * again for a while, as it may be half written; the old event stream is kept meanwhile. Of several signals the
- * last one counts. Thread-safe.
+ * Follows the event stream that the configuration file names after a SIGHUP. A file that can't be used is
+ * read again for a while, as it may be half written; the old event stream is kept meanwhile. Of several
+ * signals the last one counts. Thread-safe.
  */
 final class FeedReloader {
     /** Goes over to another event stream. */
--- a/src/main/java/switchgap/soak/ClientEmulator.java
+++ b/src/main/java/switchgap/soak/ClientEmulator.java
@@ -15,7 +15,10 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** A client of one router: a connection after the other, some requests on each, in the manner of the moment. */
+/**
+ * A client of one router: a connection after the other, some requests on each, in the manner of the
+ * moment.
+ */
 final class ClientEmulator implements Runnable {
     private static final int MAX_BATCHES = 5;
     private static final int[] BATCH_SIZES = {1, 1, 1, 3};
--- a/src/main/java/switchgap/soak/FaultKind.java
+++ b/src/main/java/switchgap/soak/FaultKind.java
@@ -31,7 +31,9 @@
     /** Clients connect and say nothing. */
     CLIENT_STAYS,
     /** Hundreds of requests at once on one connection. */
-    CLIENT_FLOOD, ACCEPT_FAILS, CONNECT_FAILS, SOCKET_FAILS, READ_INTERRUPTED, WRITE_INTERRUPTED, READ_SHORT, WRITE_SHORT,
+    CLIENT_FLOOD,
+    /** System calls of one router fail for a while, or move less than they were asked to. */
+    ACCEPT_FAILS, CONNECT_FAILS, SOCKET_FAILS, READ_INTERRUPTED, WRITE_INTERRUPTED, READ_SHORT, WRITE_SHORT,
     /** The routers' wall clocks step by a second or an hour, forward or back. */
     WALL_CLOCK_STEP
 }
--- a/src/main/java/switchgap/soak/FaultPlan.java
+++ b/src/main/java/switchgap/soak/FaultPlan.java
@@ -29,7 +29,10 @@
 
     private FaultPlan() {}
 
-    /** Draws the faults; those of kinds that are left out are drawn, too, so that the others stay the same. */
+    /**
+     * Draws the faults; those of kinds that are left out are drawn, too, so that the others stay the
+     * same.
+     */
     static List<Fault> draw(long seed, int seconds, Set<FaultKind> leftOut) {
         Random random = new Random(seed);
         int span = seconds * 1000 - QUIET_END_MILLIS;
--- a/src/main/java/switchgap/soak/FaultRunner.java
+++ b/src/main/java/switchgap/soak/FaultRunner.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -34,6 +35,7 @@
     private final EmulatedFleet fleet;
     private final SoakRecords records;
     private final ActiveFaults active;
+    private final Map<FaultKind, Player> players = players();
     private FeedEmulator feed;
 
     FaultRunner(List<RouterProcess> routers, EmulatedFleet fleet, FeedEmulator feed, SoakRecords records,
@@ -49,7 +51,8 @@
     void play(Fault fault) {
         active.begin(fault.kind());
         try {
-            play(fault, new Random(fault.draw()));
+            Player clientsPlayIt = (each, random) -> Thread.sleep(each.lengthMillis());
+            players.getOrDefault(fault.kind(), clientsPlayIt).play(fault, new Random(fault.draw()));
         } catch (IOException e) {
             records.processFaults.add(fault + " was not played: " + e.getMessage());
         } catch (InterruptedException e) {
@@ -59,35 +62,48 @@
         }
     }
 
-    private void play(Fault fault, Random random) throws IOException, InterruptedException {
-        switch (fault.kind()) {
-            case ROUTER_TERM -> term(router(random));
-            case ROUTER_KILL -> kill(random);
-            case ROUTER_PAUSE -> pause(router(random), fault.lengthMillis());
-            case FEED_MOVED -> moveFeed();
-            case FEED_SILENT -> silenceFeed(fault.lengthMillis());
-            case FEED_CUT -> cutFeed();
-            case FEED_WHOLE_LIST -> fleet.tellAll();
-            case WORKER_REPLACED -> replaceWorker(random, fault.lengthMillis());
-            case WORKER_HANGS -> misbehave(random, fault, Misbehaviour.HANGS);
-            case WORKER_REJECTS -> misbehave(random, fault, Misbehaviour.REJECTS);
-            case WORKER_RESETS -> misbehave(random, fault, Misbehaviour.RESETS);
-            case WORKER_SPOILS_ANSWERS -> misbehave(random, fault, Misbehaviour.SPOILS_ANSWERS);
-            case WORKER_ANSWERS_TWICE -> misbehave(random, fault, Misbehaviour.ANSWERS_TWICE);
-            case WORKER_CLOSES -> fleet.serving(random.nextInt()).closeConnections();
-            case WORKER_ACCEPTS_LATE -> acceptLate(random, fault.lengthMillis());
-            case CLIENT_STAYS -> stay(router(random), fault.lengthMillis());
-            case CLIENT_FLOOD -> flood(router(random), fault.lengthMillis());
-            case ACCEPT_FAILS -> failCalls(fault, random, Call.ACCEPT, ErrorNumber.ENFILE, 1);
-            case CONNECT_FAILS -> failCalls(fault, random, Call.CONNECT, ErrorNumber.EADDRNOTAVAIL, 2);
-            case SOCKET_FAILS -> failCalls(fault, random, Call.SOCKET, ErrorNumber.EMFILE, 2);
-            case READ_INTERRUPTED -> failCalls(fault, random, Call.READ, ErrorNumber.EINTR, SOME_CALLS);
-            case WRITE_INTERRUPTED -> failCalls(fault, random, Call.WRITE, ErrorNumber.EINTR, SOME_CALLS);
-            case READ_SHORT -> failCalls(fault, random, Call.READ, ErrorNumber.SHORT, SOME_CALLS);
-            case WRITE_SHORT -> failCalls(fault, random, Call.WRITE, ErrorNumber.SHORT, SOME_CALLS);
-            case WALL_CLOCK_STEP -> stepWallClock(random);
-            default -> Thread.sleep(fault.lengthMillis()); // clients play it while it is on
-        }
+    /** Plays one kind of fault from its begin to its end. */
+    private interface Player {
+        void play(Fault fault, Random random) throws IOException, InterruptedException;
+    }
+
+    private Map<FaultKind, Player> players() {
+        Map<FaultKind, Player> all = new EnumMap<>(FaultKind.class);
+        all.put(FaultKind.ROUTER_TERM, (fault, random) -> term(router(random)));
+        all.put(FaultKind.ROUTER_KILL, (fault, random) -> kill(random));
+        all.put(FaultKind.ROUTER_PAUSE, (fault, random) -> pause(router(random), fault.lengthMillis()));
+        all.put(FaultKind.FEED_MOVED, (fault, random) -> moveFeed());
+        all.put(FaultKind.FEED_SILENT, (fault, random) -> silenceFeed(fault.lengthMillis()));
+        all.put(FaultKind.FEED_CUT, (fault, random) -> cutFeed());
+        all.put(FaultKind.FEED_WHOLE_LIST, (fault, random) -> fleet.tellAll());
+        all.put(FaultKind.WORKER_REPLACED, (fault, random) -> replaceWorker(random, fault.lengthMillis()));
+        all.put(FaultKind.WORKER_HANGS, misbehaviour(Misbehaviour.HANGS));
+        all.put(FaultKind.WORKER_REJECTS, misbehaviour(Misbehaviour.REJECTS));
+        all.put(FaultKind.WORKER_RESETS, misbehaviour(Misbehaviour.RESETS));
+        all.put(FaultKind.WORKER_SPOILS_ANSWERS, misbehaviour(Misbehaviour.SPOILS_ANSWERS));
+        all.put(FaultKind.WORKER_ANSWERS_TWICE, misbehaviour(Misbehaviour.ANSWERS_TWICE));
+        all.put(FaultKind.WORKER_CLOSES,
+            (fault, random) -> fleet.serving(random.nextInt()).closeConnections());
+        all.put(FaultKind.WORKER_ACCEPTS_LATE, (fault, random) -> acceptLate(random, fault.lengthMillis()));
+        all.put(FaultKind.CLIENT_STAYS, (fault, random) -> stay(router(random), fault.lengthMillis()));
+        all.put(FaultKind.CLIENT_FLOOD, (fault, random) -> flood(router(random), fault.lengthMillis()));
+        all.put(FaultKind.ACCEPT_FAILS, failure(Call.ACCEPT, ErrorNumber.ENFILE, 1));
+        all.put(FaultKind.CONNECT_FAILS, failure(Call.CONNECT, ErrorNumber.EADDRNOTAVAIL, 2));
+        all.put(FaultKind.SOCKET_FAILS, failure(Call.SOCKET, ErrorNumber.EMFILE, 2));
+        all.put(FaultKind.READ_INTERRUPTED, failure(Call.READ, ErrorNumber.EINTR, SOME_CALLS));
+        all.put(FaultKind.WRITE_INTERRUPTED, failure(Call.WRITE, ErrorNumber.EINTR, SOME_CALLS));
+        all.put(FaultKind.READ_SHORT, failure(Call.READ, ErrorNumber.SHORT, SOME_CALLS));
+        all.put(FaultKind.WRITE_SHORT, failure(Call.WRITE, ErrorNumber.SHORT, SOME_CALLS));
+        all.put(FaultKind.WALL_CLOCK_STEP, (fault, random) -> stepWallClock(random));
+        return all;
+    }
+
+    private Player misbehaviour(Misbehaviour how) {
+        return (fault, random) -> misbehave(random, fault, how);
+    }
+
+    private Player failure(Call call, ErrorNumber error, int every) {
+        return (fault, random) -> failCalls(fault, random, call, error, every);
     }
 
     private RouterProcess router(Random random) {
--- a/src/main/java/switchgap/soak/FeedEmulator.java
+++ b/src/main/java/switchgap/soak/FeedEmulator.java
@@ -36,8 +36,8 @@
     }
 
     /** Tells nothing for a while, on connections that stay open. */
-    void silence(boolean on) {
-        silent = on;
+    void silence(boolean quiet) {
+        silent = quiet;
     }
 
     /** Ends all connections, in the middle of an event where one is being told. */
--- a/src/main/java/switchgap/soak/SystemCallFaults.java
+++ b/src/main/java/switchgap/soak/SystemCallFaults.java
@@ -13,8 +13,9 @@
 import java.util.Map;
 
 /**
- * A shared library that is loaded into a router by LD_PRELOAD and lets its system calls fail, with the file by
- * which this side says which. Its source is {@code system_call_faults.c}; it is compiled when it is needed.
+ * A shared library that is loaded into a router by LD_PRELOAD and lets its system calls fail, with the
+ * file by which this side says which. Its source is {@code system_call_faults.c}; it is compiled when it
+ * is needed.
  */
 public final class SystemCallFaults {
     /** The calls that can be touched, in the order of the control file. */
