--- /dev/null
+++ b/src/test/java/switchgap/server/platform/DiscoveryOutageTest.java
@@ -0,0 +1,130 @@
+package switchgap.server.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * A worker begins to drain while the event stream is out of reach: what the stream would have told
+ * counts as notified, so the worker gets nothing new past the grace, and requests are served by the
+ * others.
+ */
+class DiscoveryOutageTest extends PlatformFixture {
+  /** How the stream is out of reach. */
+  enum Outage {
+    /** Its connection stays open and delivers nothing. */
+    SILENT(Duration.ofSeconds(4)),
+    /** Its connection ends and no other one is accepted. */
+    REFUSES_CONNECTIONS(Duration.ofSeconds(2));
+
+    /** What the stream would have told counts as notified after this, on the platform. */
+    final Duration notifiedAfter;
+
+    Outage(Duration notifiedAfter) {
+      this.notifiedAfter = notifiedAfter;
+    }
+  }
+
+  /** The grace of the settings, and the 50 ms by which every limit is longer on sockets. */
+  private static final Duration GRACE = Duration.ofMillis(550);
+
+  private static final Duration OBSERVED = Duration.ofSeconds(2);
+  private static final int FUNCTIONS = 12;
+  private static final int PAUSE_MILLIS = 5;
+
+  private final DrainableWorker drainable = new DrainableWorker();
+  private RespTestServer drained;
+  private int submitted;
+
+  private ThriftTestClient startWithThreeWorkers() throws Exception {
+    drained = new RespTestServer(drainable);
+    startRouter(
+        MANY_SOCKETS, drained, RespTestServer.executingAll(), RespTestServer.executingAll());
+    await(() -> eventStream.hasClient());
+    ThriftTestClient client = connectClient();
+    for (int i = 0; i < FUNCTIONS * 3; i++) { // until each function has a replica
+      eventStream.sendHeartbeats();
+      submit(client);
+    }
+    assertThat(drained.executions()).isNotEmpty();
+    return client;
+  }
+
+  private ReplyOutcome submit(ThriftTestClient client) throws Exception {
+    submitted++;
+    client.submit(submitted, TestSubmit.idempotent(nextId()).function(submitted % FUNCTIONS + 1));
+    ReplyOutcome outcome = client.receiveReply().outcome();
+    Thread.sleep(PAUSE_MILLIS);
+    return outcome;
+  }
+
+  /** Submits requests one after the other for a time; returns the number that was not served. */
+  private int submitFor(ThriftTestClient client, Duration duration) throws Exception {
+    long endNanos = System.nanoTime() + duration.toNanos();
+    int notServed = 0;
+    while (System.nanoTime() < endNanos) {
+      notServed += submit(client) == ReplyOutcome.SUCCEEDED ? 0 : 1;
+    }
+    return notServed;
+  }
+
+  private void assertNothingNewAtDrainedWorkerAfter(long nanos) {
+    assertThat(drained.received())
+        .filteredOn(command -> command.receivedNanos() > nanos)
+        .filteredOn(DiscoveryOutageTest::isNewWork)
+        .isEmpty();
+  }
+
+  private static boolean isNewWork(RespTestServer.Command command) {
+    return command.isExecution()
+        || (command.name().equals(RespTestServer.LOAD) && !DrainableWorker.isQuery(command));
+  }
+
+  private void assertServedByOthersThroughOutage(ThriftTestClient client, Duration notifiedAfter)
+      throws Exception {
+    Duration forbiddenAfter = notifiedAfter.plus(GRACE);
+    long outageNanos = System.nanoTime();
+    drainable.setDraining(true);
+    submitFor(client, forbiddenAfter);
+    int notServed = submitFor(client, OBSERVED);
+    assertNothingNewAtDrainedWorkerAfter(outageNanos + forbiddenAfter.toNanos());
+    assertThat(notServed).as("requests not served once the drain is known").isZero();
+  }
+
+  @ParameterizedTest
+  @EnumSource(Outage.class)
+  void sendsNothingToWorkerThatDrains(Outage outage) throws Exception {
+    ThriftTestClient client = startWithThreeWorkers();
+    if (outage == Outage.REFUSES_CONNECTIONS) {
+      eventStream.close();
+    }
+    assertServedByOthersThroughOutage(client, outage.notifiedAfter);
+  }
+
+  /** The worker that drained has ended, and a new process listens under its name and address. */
+  @Test
+  void usesWorkerThatRepliesReadyAgain() throws Exception {
+    ThriftTestClient client = startWithThreeWorkers();
+    eventStream.close();
+    drainable.setDraining(true);
+    submitFor(client, Outage.REFUSES_CONNECTIONS.notifiedAfter.plus(GRACE));
+    drainable.setDraining(false);
+    long readyNanos = System.nanoTime();
+    submitFor(client, OBSERVED.multipliedBy(2));
+    assertThat(drained.executions())
+        .filteredOn(command -> command.receivedNanos() > readyNanos)
+        .as("requests at the worker that is ready again")
+        .isNotEmpty();
+  }
+
+  @Test
+  void servesWhileStreamNeverDelivers() throws Exception {
+    RespTestServer worker = RespTestServer.executingAll();
+    startRouter(MANY_SOCKETS, worker);
+    ThriftTestClient client = connectClient();
+    assertThat(submitFor(client, OBSERVED)).isZero();
+  }
+}
--- a/src/test/java/switchgap/server/platform/EventStreamTestServer.java
+++ b/src/test/java/switchgap/server/platform/EventStreamTestServer.java
@@ -21,6 +21,8 @@
   private static final String RESPONSE_HEAD =
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
 
+  private static final byte[] HEARTBEAT = ":\n\n".getBytes(StandardCharsets.US_ASCII);
+
   /** Sends the events of a connection. */
   public interface StreamHandler {
     /**
@@ -36,6 +38,7 @@
 
   private final List<Long> requestedEventIds = new CopyOnWriteArrayList<>();
   private final List<Socket> open = new CopyOnWriteArrayList<>();
+  private final List<Socket> requested = new CopyOnWriteArrayList<>();
   private final ServerSocket listener;
 
   /** A server on any free port. */
@@ -68,6 +71,7 @@
       OutputStream output = socket.getOutputStream();
       output.write(RESPONSE_HEAD.getBytes(StandardCharsets.US_ASCII));
       requestedEventIds.add(lastEventId); // behind the head: a test sends events from now on
+      requested.add(socket);
       if (!handler.handle(connection, lastEventId, output)) {
         socket.close();
       }
@@ -112,6 +116,15 @@
     sendEvent(open.get(open.size() - 1).getOutputStream(), event);
   }
 
+  /**
+   * Sends a heartbeat on each connection that has requested the stream, as the protocol demands.
+   */
+  public void sendHeartbeats() throws IOException {
+    for (Socket socket : requested) {
+      socket.getOutputStream().write(HEARTBEAT);
+    }
+  }
+
   /** Waits until the client closes a connection, counted from 0; returns whether it did. */
   public boolean awaitClientClose(int connection) throws IOException {
     open.get(connection).setSoTimeout(CLOSE_TIMEOUT_MILLIS);
--- a/src/test/java/switchgap/server/platform/RespTestServer.java
+++ b/src/test/java/switchgap/server/platform/RespTestServer.java
@@ -20,14 +20,15 @@
   static final String CANCEL = "UNDO";
   static final String LOAD = "PIN";
   static final String LOAD_PROBE = "METER";
-  private static final String HEALTH_CHECK = "ECHO";
+  static final String HEALTH_CHECK = "ECHO";
 
   // Statuses of replies on the wire.
   static final String SUCCEEDED = "data";
   static final String FAILED = "failed";
   static final String REJECTED = "full";
   static final String NOT_LOADED = "absent";
-  private static final String HEALTHY = "well";
+  static final String HEALTHY = "well";
+  static final String UNHEALTHY = "ill";
   static final String NO_REPORT = "-";
 
   private static final int ACCEPT_BACKLOG = 50;
@@ -37,8 +38,9 @@
    *
    * @param connection number of its connection, counted from 0
    * @param words its name and arguments
+   * @param receivedNanos the {@link System#nanoTime} at which it was complete
    */
-  record Command(int connection, List<String> words) {
+  record Command(int connection, List<String> words, long receivedNanos) {
     String name() {
       return words.get(0);
     }
@@ -126,7 +128,7 @@
       InputStream input = new BufferedInputStream(socket.getInputStream());
       boolean isOpen = true;
       while (isOpen) {
-        Command command = new Command(connection, readWords(input));
+        Command command = new Command(connection, readWords(input), System.nanoTime());
         received.add(command);
         isOpen = handler.handle(command, socket.getOutputStream());
       }
--- /dev/null
+++ b/src/test/java/switchgap/server/platform/ShutdownTrafficTest.java
@@ -0,0 +1,165 @@
+package switchgap.server.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Clients go on sending on open connections until SIGKILL, which comes as early as the platform
+ * allows after SIGTERM. Every request that the router has taken is answered all the same.
+ */
+class ShutdownTrafficTest extends PlatformProcessFixture {
+  private static final int CLIENTS = 12;
+  private static final int LOAD_MILLIS = 700;
+  private static final int MAX_ASSUMED_TIMEOUT_MILLIS = 3000;
+  private static final int KILL_MARGIN_MILLIS = 700;
+
+  /** A request that crosses the close of its connection by less is sent again by its client. */
+  private static final long CROSSING_NANOS = 50_000_000;
+
+  private final AtomicInteger lastRequest = new AtomicInteger();
+  private final AtomicInteger servedAfterSigterm = new AtomicInteger();
+  private final List<String> lost = new CopyOnWriteArrayList<>();
+  private volatile long sigtermNanos;
+  private int port;
+
+  @ParameterizedTest
+  @ValueSource(ints = {500, 1500, 3000, 5000})
+  void answersEveryRequestUntilEarliestKill(int timeoutMillis) throws Exception {
+    startServing(timeoutMillis);
+    List<Thread> clients = startClients(timeoutMillis);
+    Thread.sleep(LOAD_MILLIS);
+    sigtermNanos = System.nanoTime();
+    signal("TERM");
+    boolean exited = process.waitFor(millisToKill(timeoutMillis), TimeUnit.MILLISECONDS);
+    process.destroyForcibly().waitFor();
+    for (Thread client : clients) {
+      client.join();
+    }
+    assertThat(lost).as("requests without an answer, exited by itself: %s", exited).isEmpty();
+    assertThat(servedAfterSigterm.get()).as("requests served after SIGTERM").isPositive();
+  }
+
+  /** Further signals while the router shuts down change nothing. */
+  @ParameterizedTest
+  @ValueSource(ints = {1500})
+  void answersEveryRequestThroughSeriesOfSignals(int timeoutMillis) throws Exception {
+    startServing(timeoutMillis);
+    List<Thread> clients = startClients(timeoutMillis);
+    Thread.sleep(LOAD_MILLIS);
+    sigtermNanos = System.nanoTime();
+    for (String name : List.of("HUP", "TERM", "HUP", "TERM", "INT")) {
+      signal(name);
+      Thread.sleep(LOAD_MILLIS / 5);
+    }
+    long elapsedMillis = (System.nanoTime() - sigtermNanos) / 1_000_000;
+    process.waitFor(millisToKill(timeoutMillis) - elapsedMillis, TimeUnit.MILLISECONDS);
+    process.destroyForcibly().waitFor();
+    for (Thread client : clients) {
+      client.join();
+    }
+    assertThat(lost).as("requests without an answer").isEmpty();
+  }
+
+  private static int millisToKill(int timeoutMillis) {
+    return Math.min(timeoutMillis, MAX_ASSUMED_TIMEOUT_MILLIS) + KILL_MARGIN_MILLIS;
+  }
+
+  private void startServing(int timeoutMillis) throws Exception {
+    settings =
+        settings.replace("\"DeadlineUs\":1000000", "\"DeadlineUs\":" + timeoutMillis * 1000L);
+    RespTestServer worker =
+        new RespTestServer(
+            (command, output) -> {
+              if (command.isExecution()) {
+                Thread.sleep(timeoutMillis * 3L / 10 / CLIENTS);
+              }
+              return RespTestServer.executeAll(command, output);
+            });
+    resources.add(worker);
+    startProcess(MANY_SOCKETS, worker);
+    port = awaitServingPort();
+  }
+
+  private List<Thread> startClients(int timeoutMillis) {
+    List<Thread> clients = new ArrayList<>();
+    for (int i = 0; i < CLIENTS; i++) {
+      Thread client = new Thread(() -> sendUntilRefused(timeoutMillis), "client-" + i);
+      client.start();
+      clients.add(client);
+    }
+    return clients;
+  }
+
+  /** Uses one connection after the other, each until it ends, until none is accepted. */
+  private void sendUntilRefused(int timeoutMillis) {
+    String unanswered = null;
+    while (true) {
+      try (ThriftTestClient client = new ThriftTestClient(port)) {
+        unanswered = sendUntilClosed(client, timeoutMillis, unanswered);
+      } catch (Exception e) {
+        return; // not accepted, so nothing is taken
+      }
+    }
+  }
+
+  /**
+   * Sends one request after the other until the connection ends.
+   *
+   * @param resent a request whose first connection ended as it was sent, or null
+   * @return the request that is to be sent again, or null
+   */
+  private String sendUntilClosed(ThriftTestClient client, int timeoutMillis, String resent)
+      throws Exception {
+    String id = resent;
+    for (int sequenceId = 1; ; sequenceId++) {
+      boolean isResent = id != null;
+      id = isResent ? id : String.format("%016x", lastRequest.incrementAndGet());
+      long sentNanos = System.nanoTime();
+      if (receivesAnswer(client, sequenceId, id, timeoutMillis)) {
+        id = null;
+        continue;
+      }
+      long waitedNanos = System.nanoTime() - sentNanos;
+      if (!isResent && waitedNanos < CROSSING_NANOS && process.isAlive()) {
+        return id;
+      }
+      lost.add(describeLoss(id, sentNanos, isResent));
+      return null;
+    }
+  }
+
+  private boolean receivesAnswer(
+      ThriftTestClient client, int sequenceId, String id, int timeoutMillis) throws Exception {
+    try {
+      client.submit(sequenceId, TestSubmit.idempotent(id).timeoutMillis(timeoutMillis));
+      ThriftTestClient.Reply reply = client.receiveReply();
+      if (reply == null) {
+        return false;
+      }
+      if (sigtermNanos != 0 && reply.outcome() == ReplyOutcome.SUCCEEDED) {
+        servedAfterSigterm.incrementAndGet();
+      }
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private String describeLoss(String id, long sentNanos, boolean isResent) {
+    return id
+        + " sent "
+        + (sentNanos - sigtermNanos) / 1_000_000
+        + " ms after SIGTERM, ended "
+        + (System.nanoTime() - sigtermNanos) / 1_000_000
+        + " ms after it"
+        + (isResent ? ", sent again" : "");
+  }
+}
--- a/src/test/java/switchgap/server/platform/TestPlatformSettings.java
+++ b/src/test/java/switchgap/server/platform/TestPlatformSettings.java
@@ -22,7 +22,7 @@
       "RetryAfter":true,"MaxRetryAfterUs":900000,
                  "DialTimeoutUs":250000,"ConnIdleUs":4000000,"Multiplex":100,"MaxOpen":1000},
        "Guarantees":{"ColdFrom":0.2,"ColdUs":2000000,"FallMultiple":3,\
-      "OverloadForUs":1000000,"AskWithinUs":10000000},
+      "OverloadForUs":1000000,"AskWithinUs":10000000,"DrainGraceUs":500000},
        "Extra":{"IfCold":"miss","PlacementCalls":true,"IdleLifeUs":5000000,"LoadFree":0,\
       "LoadRatio":0,"LoadSpanUs":0,"MemoryPrice":0,
                 "MachineMb":[4000],"LoadWaitUs":4000000,"SaysCompany":true},
