--- a/src/main/java/switchgap/config/PropertyValues.java
+++ b/src/main/java/switchgap/config/PropertyValues.java
@@ -67,6 +67,10 @@
   }
 
   /** A duration that is written in microseconds. */
+  Duration optionalDuration(String path) {
+    return Duration.ofNanos(Math.round(optionalNumber(path) * NANOS_PER_MICRO));
+  }
+
   Duration duration(String path) {
     return Duration.ofNanos(Math.round(number(path) * NANOS_PER_MICRO));
   }
--- a/src/main/java/switchgap/config/PropertyWorkerSettings.java
+++ b/src/main/java/switchgap/config/PropertyWorkerSettings.java
@@ -10,6 +10,7 @@
 abstract class PropertyWorkerSettings extends PropertyRequestSettings {
   private static final String CAPACITY_REPORTS = "Weights";
   private static final String ENDPOINT_DISCOVERY = "Discovery";
+  private static final String DRAIN_GRACE = "Guarantees.DrainGraceUs";
   private static final String SLOW_START_CAPACITY_SHARE = "Guarantees.ColdFrom";
   private static final String SLOW_START_DURATION = "Guarantees.ColdUs";
   private static final String SLOW_START_OVERLOAD_MULTIPLE = "Guarantees.FallMultiple";
@@ -40,6 +41,11 @@
     this.values = values;
   }
 
+  @Override
+  public Duration drainGrace() {
+    return values.optionalDuration(DRAIN_GRACE);
+  }
+
   @Override
   public double slowStartCapacityShare() {
     return values.number(SLOW_START_CAPACITY_SHARE);
--- a/src/main/java/switchgap/config/YamlWorkerSettings.java
+++ b/src/main/java/switchgap/config/YamlWorkerSettings.java
@@ -25,6 +25,11 @@
     return workerKinds.index(name);
   }
 
+  @Override
+  public Duration drainGrace() {
+    return rules.drainGrace();
+  }
+
   @Override
   public double slowStartCapacityShare() {
     return rules.slowStart().capacityShare();
--- a/src/main/java/switchgap/endpoints/EventStreamClient.java
+++ b/src/main/java/switchgap/endpoints/EventStreamClient.java
@@ -21,6 +21,11 @@
  * on a further connection, since a half-open connection looks like a fleet without changes. The
  * connection that delivered last stays in use until its successor delivers.
  *
+ * <p>The list counts as confirmed while the latest connection delivers, and heartbeats prove that
+ * no event is missing. A request for the stream that is not answered, a break, an event that is
+ * invalid or received in part, and silence leave it unconfirmed: the platform counts what the
+ * stream would have told as notified then, at the earliest.
+ *
  * <p>It differs from {@link EndpointListWatcher}: the feed has heartbeats and sequence numbers that
  * resume it, and the platform migrates routers from one feed to another, so two connections may be
  * in use at a time here and reconnects back off exponentially.
@@ -39,12 +44,17 @@
 
   private static final int MAX_BACKOFF_DOUBLINGS = 4;
 
+  /** A list that was unconfirmed for longer has a log line when it is confirmed again. */
+  private static final Duration LOGGED_OUTAGE = Duration.ofSeconds(1);
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   /** Time for which a connection must have delivered before its loss counts as a first failure. */
   private static final Duration STABLE_AFTER = Duration.ofMillis(500);
 
   private final HttpClientConnector connector;
   private final EndpointNames names;
-  private final Consumer<EndpointListEvent> events;
+  private final EventStreamListener listener;
   private final Consumer<String> log;
   private final ScheduledFuture<?> silenceCheck;
   private final EventSequence sequence;
@@ -59,23 +69,31 @@
   /** The {@link System#nanoTime} at which the latest attempt began or last delivered a line. */
   private long lastDataNanos;
 
+  /** Whether an event was invalid or missing, so that heartbeats alone confirm nothing. */
+  private boolean eventMissing;
+
+  /** The {@link System#nanoTime} since which the list is unconfirmed; meaningless while it is. */
+  private long unconfirmedSinceNanos = System.nanoTime();
+
+  private boolean confirmed;
+
   /**
    * Creates a client that does nothing until {@link #follow}.
    *
    * @param lastSequence number of the last event that is known already
-   * @param events receives each event that has an endpoint list
+   * @param listener receives the events, and until when the list is confirmed
    * @param log receives a line for each fault of the feed
    */
   public EventStreamClient(
       HttpClientConnector connector,
       long lastSequence,
       EndpointNames names,
-      Consumer<EndpointListEvent> events,
+      EventStreamListener listener,
       Consumer<String> log) {
     this.connector = connector;
     this.sequence = new EventSequence(lastSequence);
     this.names = names;
-    this.events = events;
+    this.listener = listener;
     this.log = log;
     silenceCheck =
         TimerThread.EXECUTOR.scheduleAtFixedRate(
@@ -117,6 +135,7 @@
       return;
     }
     state = state.onConnect();
+    unconfirm();
     lastDataNanos = System.nanoTime();
     long attempt = connections.beginAttempt();
     connector.connect(
@@ -162,6 +181,7 @@
     if (!connections.isLatest(attempt)) {
       return;
     }
+    unconfirm();
     if (!backoff.hasFailed()) {
       log.accept("control feed away, the last list stays: " + cause);
     }
@@ -190,7 +210,7 @@
     try {
       deliver(attempt, EndpointListEvent.parse(text, names));
     } catch (IOException | RuntimeException e) {
-      // the next connection delivers the event again
+      eventMissing = true; // the next connection delivers the event again
       disconnected(attempt, SubscriptionEndReason.INVALID_EVENT.with(e.getMessage()));
     }
   }
@@ -199,15 +219,24 @@
     long lastSequence = sequence.lastSequence();
     EventSequence.Verdict verdict = sequence.advance(event);
     if (verdict == EventSequence.Verdict.GAP) {
+      eventMissing = true;
       String detail = "event " + event.sequence() + " follows " + lastSequence;
       disconnected(attempt, SubscriptionEndReason.SEQUENCE_GAP.with(detail));
-    } else if (verdict == EventSequence.Verdict.DELIVER && event.isEndpointList()) {
-      events.accept(event);
+    } else if (verdict == EventSequence.Verdict.DELIVER) {
+      eventMissing = false;
+      if (event.isEndpointList()) {
+        listener.eventReceived(event);
+      }
     }
   }
 
-  /** Complete lines were received: an event, a part of one or a heartbeat. */
-  synchronized void linesReceived(long attempt, long requestedAtNanos) {
+  /**
+   * Complete lines were received: an event, a part of one or a heartbeat.
+   *
+   * @param betweenEvents whether no event is received in part, so that all events sent so far are
+   *     delivered
+   */
+  synchronized void linesReceived(long attempt, long requestedAtNanos, boolean betweenEvents) {
     if (!connections.isLatest(attempt)) {
       return;
     }
@@ -217,6 +246,28 @@
       backoff.reset(); // not for one that breaks at once, which would be reconnected at full speed
     }
     connections.activateLatest();
+    if (betweenEvents && !eventMissing) {
+      confirm();
+    }
+  }
+
+  private void confirm() {
+    if (!confirmed) {
+      confirmed = true;
+      long nanos = System.nanoTime() - unconfirmedSinceNanos;
+      if (nanos > LOGGED_OUTAGE.toNanos()) {
+        log.accept("endpoint list confirmed again after " + nanos / NANOS_PER_MILLI + " ms");
+      }
+    }
+    listener.listConfirmed(SILENCE_TIMEOUT);
+  }
+
+  private void unconfirm() {
+    if (confirmed) {
+      confirmed = false;
+      unconfirmedSinceNanos = lastDataNanos;
+    }
+    listener.listUnconfirmed();
   }
 
   @Override
--- a/src/main/java/switchgap/endpoints/EventStreamHandler.java
+++ b/src/main/java/switchgap/endpoints/EventStreamHandler.java
@@ -33,7 +33,7 @@
         decoder.decode(bytes, (id, data) -> client.eventReceived(attempt, data));
     boolean hasCompleteLine = decoder.lineCount() > linesBefore;
     if (hasCompleteLine) { // bytes of a line that never ends count as silence
-      client.linesReceived(attempt, requestedAtNanos);
+      client.linesReceived(attempt, requestedAtNanos, !decoder.hasPartialEvent());
     }
     if (!isWithinBounds) {
       String detail = "over " + MAX_EVENT_BYTES + " bytes";
--- a/src/main/java/switchgap/policy/CandidateSelector.java
+++ b/src/main/java/switchgap/policy/CandidateSelector.java
@@ -20,13 +20,19 @@
 
   private final PolicyState state;
   private final OutlierDetector outliers;
+  private final WorkerLeases leases;
   private final LoadEstimator estimator;
   private final RetryPolicy retries;
 
   CandidateSelector(
-      PolicyState state, OutlierDetector outliers, LoadEstimator estimator, RetryPolicy retries) {
+      PolicyState state,
+      OutlierDetector outliers,
+      WorkerLeases leases,
+      LoadEstimator estimator,
+      RetryPolicy retries) {
     this.state = state;
     this.outliers = outliers;
+    this.leases = leases;
     this.estimator = estimator;
     this.retries = retries;
   }
@@ -39,7 +45,9 @@
     int maxVisited = 2 * function.targetReplicas() + OVERFLOW_WORKERS;
     int visited = 0;
     for (Worker worker : state.hashOrder(function)) {
-      if (outliers.isEjected(worker) || (avoidsFailed && request.hasFailedAt(worker))) {
+      if (outliers.isEjected(worker)
+          || leases.isUnavailable(worker)
+          || (avoidsFailed && request.hasFailedAt(worker))) {
         continue;
       }
       if (visited++ < function.targetReplicas()) {
@@ -95,8 +103,9 @@
     boolean crosses = state.settings.crossZonePrice > 0 && worker.zone() != state.settings.zone;
     double crossing = crosses ? CROSS_ZONE_LOAD * OVERFLOW_LOAD : 0;
     double guess = replica == Replica.State.UNKNOWN ? OVERFLOW_LOAD : 0;
+    double probe = leases.holds(worker) ? 0 : OVERFLOW_LOAD; // for which the request would wait
     double chance = state.random.nextDouble() * OVERFLOW_LOAD * (1 - state.ownShare);
-    return estimator.load(worker) + guess + crossing + chance;
+    return estimator.load(worker) + guess + probe + crossing + chance;
   }
 
   private boolean hasCapacity(Request request, Worker worker) {
--- a/src/main/java/switchgap/policy/ReplicaLoader.java
+++ b/src/main/java/switchgap/policy/ReplicaLoader.java
@@ -21,12 +21,14 @@
 
   private final PolicyState state;
   private final OutlierDetector outliers;
+  private final WorkerLeases leases;
   private int pendingLoads;
   private double maxPendingLoads; // 0 before the first endpoint list
 
-  ReplicaLoader(PolicyState state, OutlierDetector outliers) {
+  ReplicaLoader(PolicyState state, OutlierDetector outliers, WorkerLeases leases) {
     this.state = state;
     this.outliers = outliers;
+    this.leases = leases;
   }
 
   void endpointListEnded() {
@@ -47,6 +49,10 @@
         || isQuotaUsedUp()) {
       return false;
     }
+    if (!leases.holds(worker)) {
+      leases.acquire(worker);
+      return false;
+    }
     pendingLoads++;
     state.dispatcher.load(function, worker);
     return true;
@@ -76,7 +82,9 @@
     int visited = 0;
     for (Worker worker : state.hashOrder(function)) {
       Replica replica = function.replicaAt(worker);
-      if (outliers.isEjected(worker) || wasRejectedLately(replica)) {
+      if (outliers.isEjected(worker)
+          || leases.isUnavailable(worker)
+          || wasRejectedLately(replica)) {
         continue;
       }
       if (visited++ >= function.targetReplicas()) {
--- a/src/main/java/switchgap/policy/ReplicaScaler.java
+++ b/src/main/java/switchgap/policy/ReplicaScaler.java
@@ -30,16 +30,19 @@
   private final PolicyState state;
   private final OutlierDetector outliers;
   private final ReplicaLoader loader;
+  private final WorkerLeases leases;
   private final Duration idleTimeout;
   private final boolean unloads; // only where idle memory has a price; otherwise replicas expire
   private final boolean keepsReplica; // only where cheap: no quota, no memory price, few routers
   private double plannedMemoryMb; // of all target replicas of active functions
   private double keptMemoryMb; // of the kept replicas of idle functions
 
-  ReplicaScaler(PolicyState state, OutlierDetector outliers, ReplicaLoader loader) {
+  ReplicaScaler(
+      PolicyState state, OutlierDetector outliers, ReplicaLoader loader, WorkerLeases leases) {
     this.state = state;
     this.outliers = outliers;
     this.loader = loader;
+    this.leases = leases;
     idleTimeout = state.settings.replicaIdleTimeout;
     boolean commands = state.settings.loadCommandsAllowed;
     boolean priced = state.settings.idleMemoryPrice > 0;
@@ -156,20 +159,28 @@
     }
   }
 
+  private void renew(Function function, Worker worker) {
+    if (leases.holds(worker)) {
+      state.dispatcher.renew(function, worker);
+    } else {
+      leases.acquire(worker); // it is renewed in the next second
+    }
+  }
+
   /** Renews the first replica of an idle function before its idle timeout, if the memory allows. */
   private void keepOneReplica(Function function) {
     if (plannedMemoryMb + keptMemoryMb > MAX_MEMORY_SHARE * state.readyMemoryMb()) {
       return;
     }
     for (Worker worker : state.hashOrder(function)) {
-      if (outliers.isEjected(worker)) {
+      if (outliers.isEjected(worker) || leases.isUnavailable(worker)) {
         continue;
       }
       boolean loaded = state.replicaState(function, worker) == Replica.State.LOADED;
       Replica replica = function.replicaAt(worker);
       Duration renewalAge = scale(idleTimeout, RENEWAL_AGE);
       if (loaded && !replica.isQueryPending() && !state.isWithin(renewalAge, replica.lastUsed())) {
-        state.dispatcher.renew(function, worker);
+        renew(function, worker);
       }
       return;
     }
--- a/src/main/java/switchgap/policy/RequestRouter.java
+++ b/src/main/java/switchgap/policy/RequestRouter.java
@@ -24,19 +24,29 @@
   private final LoadEstimator estimator;
   private final ReplicaLoader loader;
   private final ReplicaScaler scaler;
+  private final WorkerLeases leases;
   private final boolean probes;
-  final Duration queueStep; // after which a queued request is placed again
+  final Duration queueStep;
 
   RequestRouter(
-      PolicyState state, LoadEstimator estimator, ReplicaLoader loader, ReplicaScaler scaler) {
+      PolicyState state,
+      LoadEstimator estimator,
+      ReplicaLoader loader,
+      ReplicaScaler scaler,
+      WorkerLeases leases) {
     this.state = state;
+    this.leases = leases;
     this.estimator = estimator;
     this.loader = loader;
     this.scaler = scaler;
     double probePrice = state.settings.probePrice;
     probes = state.settings.probesAllowed && state.ownShare < 1 && 2 * probePrice < MAX_PROBE_PRICE;
-    Duration objective = state.settings.shortestObjective;
-    queueStep = max(state.settings.tickInterval, objective.dividedBy(STEPS));
+    queueStep = queueStep(state);
+  }
+
+  /** The time after which a queued request is placed again. */
+  static Duration queueStep(PolicyState state) {
+    return max(state.settings.tickInterval, state.settings.shortestObjective.dividedBy(STEPS));
   }
 
   /** Sends a request to what its survey found; returns false if it has to wait. */
@@ -49,10 +59,15 @@
     if (survey.best() == null) {
       loadReplicas(request.function, survey, choice);
     }
-    if (choice != null) {
-      state.dispatcher.startAttempt(request, choice);
+    if (choice == null) {
+      return false;
+    }
+    if (!leases.holds(choice)) {
+      leases.acquire(choice, request);
+      return false;
     }
-    return choice != null;
+    state.dispatcher.startAttempt(request, choice);
+    return true;
   }
 
   /** A worker that loads on demand is the last resort; one with an unknown replica comes first. */
--- a/src/main/java/switchgap/policy/RoutingPolicy.java
+++ b/src/main/java/switchgap/policy/RoutingPolicy.java
@@ -48,6 +48,7 @@
   private final SlowStart slowStart;
   private final OutlierDetector outliers;
   private final LoadEstimator estimator;
+  private final WorkerLeases leases;
   private final ReplicaLoader loader;
   private final ReplicaScaler scaler;
   private final RetryPolicy retries;
@@ -66,11 +67,12 @@
     slowStart = new SlowStart(state);
     outliers = new OutlierDetector(state);
     estimator = new LoadEstimator(state, slowStart);
-    loader = new ReplicaLoader(state, outliers);
-    scaler = new ReplicaScaler(state, outliers, loader);
+    leases = new WorkerLeases(state, RequestRouter.queueStep(state));
+    loader = new ReplicaLoader(state, outliers, leases);
+    scaler = new ReplicaScaler(state, outliers, loader, leases);
     retries = new RetryPolicy(state, slowStart);
-    CandidateSelector selector = new CandidateSelector(state, outliers, estimator, retries);
-    RequestRouter router = new RequestRouter(state, estimator, loader, scaler);
+    CandidateSelector selector = new CandidateSelector(state, outliers, leases, estimator, retries);
+    RequestRouter router = new RequestRouter(state, estimator, loader, scaler, leases);
     queue = new RequestQueue(state, selector, router, retries);
     Duration longest = settings.endpointPollInterval;
     pollInterval = longest == null ? null : longest.dividedBy(POLLS_PER_INTERVAL);
@@ -79,6 +81,7 @@
   /** Applies the events since the last tick and decides; the other methods are for the batch. */
   public void tick(Duration now, EventBatch events, PolicyActions actions) {
     state.beginTick(now, actions);
+    leases.beginTick();
     events.deliverTo(this);
     if (pollInterval != null && state.hasPassed(nextPoll)) {
       actions.subscribeToEndpoints();
@@ -143,6 +146,7 @@
       estimator.attemptSucceeded(request, attempt, worker, result.duration());
     }
     outliers.attemptEnded(request, worker, result);
+    leases.attemptEnded(worker, result);
     if (outcome != AttemptOutcome.TIMED_OUT && outcome != AttemptOutcome.CONNECT_FAILED) {
       worker.responded(state.now());
     }
@@ -184,6 +188,7 @@
       return;
     }
     worker.probeEnded();
+    leases.probeEnded(worker, result.outcome());
     estimator.probeEnded(worker, result);
     switch (result.outcome()) {
       case SUCCEEDED -> worker.responded(state.now());
@@ -192,6 +197,19 @@
     }
   }
 
+  @Override
+  public void endpointListConfirmedUntil(Duration time) {
+    state.endpointListConfirmedUntil(time);
+  }
+
+  @Override
+  public void workerReconnected(int index) {
+    Worker worker = state.workers.get(index);
+    if (worker != null) {
+      leases.workerReconnected(worker);
+    }
+  }
+
   @Override
   public void endpointListStarted(boolean complete) {
     state.endpointListStarted(complete);
--- a/src/main/java/switchgap/policy/api/PolicyActions.java
+++ b/src/main/java/switchgap/policy/api/PolicyActions.java
@@ -10,6 +10,12 @@
    */
   void startAttempt(int request, int worker, Duration timeout);
 
+  /**
+   * Limits attempts and load commands to a worker, those that wait for a connection included: none
+   * is written after {@code until}; null for no limit.
+   */
+  default void limitSends(int worker, Duration until) {}
+
   /** Cancels an attempt that is in flight. */
   void cancelAttempt(int request, int attempt);
 
--- a/src/main/java/switchgap/policy/api/PolicyEvents.java
+++ b/src/main/java/switchgap/policy/api/PolicyEvents.java
@@ -1,5 +1,7 @@
 package switchgap.policy.api;
 
+import java.time.Duration;
+
 /**
  * The events that a policy decides on, one call for each, from one thread. Indices are small
  * numbers that the caller assigns and may reuse once {@link PolicyActions} has released them; times
@@ -21,6 +23,19 @@
   /** A poll for the endpoint list failed; the last list stays in force. */
   void endpointListFailed();
 
+  /**
+   * The endpoint list is confirmed to be complete until a time. From then on changes of it count as
+   * notified although they may not have been received, until it is confirmed again. Without this
+   * event the list counts as confirmed for ever.
+   */
+  default void endpointListConfirmedUntil(Duration time) {}
+
+  /**
+   * A connection to a worker was opened after the worker had refused one, or had ended all that
+   * were open: its process may be a new one.
+   */
+  default void workerReconnected(int worker) {}
+
   /** A request was accepted. */
   void requestArrived(RequestArrival arrival);
 
--- a/src/main/java/switchgap/policy/api/RouterSettings.java
+++ b/src/main/java/switchgap/policy/api/RouterSettings.java
@@ -77,6 +77,12 @@
   /** The longest retry delay of a rejection. */
   Duration maxRetryAfter();
 
+  /**
+   * Time after the notification that a worker drains or is gone in which attempts and load commands
+   * to it must cease; zero where none is stated.
+   */
+  Duration drainGrace();
+
   /** Share of its capacity that a worker has at its start. */
   double slowStartCapacityShare();
 
--- a/src/main/java/switchgap/policy/state/ActionDispatcher.java
+++ b/src/main/java/switchgap/policy/state/ActionDispatcher.java
@@ -1,6 +1,7 @@
 package switchgap.policy.state;
 
 import java.time.Duration;
+import java.util.Objects;
 
 /**
  * Carries out decisions: records each in the state and passes it to the actions of the tick. It
@@ -21,6 +22,7 @@
     if (state.isWarmingUp(worker)) {
       worker.slowStartSends.add(state.now());
     }
+    limitSends(worker);
     Duration timeout = request.deadline.minus(state.now()).minus(state.deadlineMargin);
     state.actions().startAttempt(request.id, worker.id, timeout);
   }
@@ -51,16 +53,32 @@
   /** Sends a load probe to a worker for a request, or has it wait for the one in flight. */
   public void probe(Worker worker, Request request) {
     if (!worker.isProbed()) {
-      state.actions().probe(worker.id);
+      probe(worker);
     }
     worker.awaitProbe(request);
   }
 
+  /** Sends a load probe to a worker that has none in flight, for which no request waits. */
+  public void probe(Worker worker) {
+    worker.probeStarted(state.now());
+    state.actions().probe(worker.id);
+  }
+
+  /** Has the worker's lease, if it needs one, hold for what is about to be sent to it. */
+  private void limitSends(Worker worker) {
+    Duration limit = state.sendLimit(worker);
+    if (!Objects.equals(limit, worker.sendLimit())) {
+      worker.sendsLimited(limit);
+      state.actions().limitSends(worker.id, limit);
+    }
+  }
+
   /** Sends a load command, which counts for the load quota. */
   public void load(Function function, Worker worker) {
     state.loadQuota.commandStarted(state.now());
     function.replicaAt(worker).loadStarted(state.now());
     function.commandStarted(worker);
+    limitSends(worker);
     state.actions().load(worker.id, function.id);
   }
 
@@ -68,6 +86,7 @@
   public void renew(Function function, Worker worker) {
     function.replicaAt(worker).queryStarted();
     function.commandStarted(worker);
+    limitSends(worker);
     state.actions().load(worker.id, function.id);
   }
 
--- a/src/main/java/switchgap/policy/state/PolicyState.java
+++ b/src/main/java/switchgap/policy/state/PolicyState.java
@@ -42,6 +42,9 @@
 
   private boolean listComplete;
 
+  /** Until when the endpoint list is confirmed; null for ever. */
+  private Duration listConfirmedUntil;
+
   /** Empty tables; the random draws come from the seed alone. */
   public PolicyState(
       SettingsSnapshot settings,
@@ -111,6 +114,26 @@
     return worker.startedAt() != null && isWithin(settings.warmUpDuration, worker.startedAt());
   }
 
+  /** Sets until when the endpoint list is confirmed. */
+  public void endpointListConfirmedUntil(Duration time) {
+    listConfirmedUntil = time;
+  }
+
+  /** Whether changes of the endpoint list may count as notified that have not been received. */
+  public boolean isListUnconfirmed() {
+    return listConfirmedUntil != null && hasPassed(listConfirmedUntil);
+  }
+
+  /** Whether a worker's own replies must prove its state, as the endpoint list cannot. */
+  public boolean requiresLeases() {
+    return isListUnconfirmed() && settings.probesAllowed;
+  }
+
+  /** When a worker's lease ends, past which nothing new is written to it; null for no limit. */
+  Duration sendLimit(Worker worker) {
+    return requiresLeases() ? worker.lease.expiresAt() : null;
+  }
+
   /** All ready workers in the function's rendezvous order: the same at every router. */
   public Worker[] hashOrder(Function function) {
     return function.hashOrder(workers, listVersion);
@@ -178,12 +201,11 @@
     if (worker == null) {
       worker = workers.set(entry.worker(), new Worker(entry, edges));
       worker.presumeEmpty(isWarmingUp(worker));
-    } else if (entry.startedAt() != null && !entry.startedAt().equals(worker.startedAt())) {
+    } else if (entry.startedAt() != null
+        && !entry.startedAt().equals(worker.startedAt())
+        && !worker.isPresumedStart(entry.startedAt())) {
       worker.restarted(entry.startedAt());
-      worker.presumeEmpty(isWarmingUp(worker));
-      for (Function function : functions) {
-        function.replicaAt(worker).workerRestarted();
-      }
+      forgetReplicas(worker);
     }
     double[] memory = settings.workerKindMemory;
     double memoryMb = entry.kind() < memory.length ? memory[entry.kind()] : 0;
@@ -191,6 +213,19 @@
     worker.update(entry, memoryMb, comparable ? entry.capacity() : Math.max(1, memoryMb));
   }
 
+  /** A worker's process seems to have started anew, and no endpoint list can tell. */
+  public void presumeRestarted(Worker worker, Duration processStart) {
+    worker.presumeRestarted(processStart);
+    forgetReplicas(worker);
+  }
+
+  private void forgetReplicas(Worker worker) {
+    worker.presumeEmpty(isWarmingUp(worker));
+    for (Function function : functions) {
+      function.replicaAt(worker).workerRestarted();
+    }
+  }
+
   /**
    * The endpoint list is complete: releases workers that are gone and idle, and counts the ready
    * ones.
--- a/src/main/java/switchgap/policy/state/SettingsSnapshot.java
+++ b/src/main/java/switchgap/policy/state/SettingsSnapshot.java
@@ -34,6 +34,7 @@
   /** Null if a rejection may not carry a retry delay. */
   public final Duration maxRetryAfter;
 
+  public final Duration drainGrace;
   public final double slowStartCapacityShare;
   public final Duration warmUpDuration;
   public final double slowStartOverloadMultiple;
@@ -80,6 +81,7 @@
     probesAllowed = settings.probesAllowed();
     cancellationAllowed = settings.cancellationAllowed();
     maxRetryAfter = settings.retryAfterAllowed() ? settings.maxRetryAfter() : null;
+    drainGrace = settings.drainGrace();
     slowStartCapacityShare = settings.slowStartCapacityShare();
     warmUpDuration = settings.warmUpDuration();
     slowStartOverloadMultiple = settings.slowStartOverloadMultiple();
--- a/src/main/java/switchgap/policy/state/Worker.java
+++ b/src/main/java/switchgap/policy/state/Worker.java
@@ -33,10 +33,16 @@
   /** Its ejections as an outlier. */
   public final EjectionState ejection = new EjectionState();
 
+  /** What its replies prove while the endpoint list is unconfirmed. */
+  public final WorkerLease lease = new WorkerLease();
+
   /** Its load as of its last report. */
   public final ReportedLoad report = new ReportedLoad();
 
   private final List<Request> awaitingProbe = new ArrayList<>();
+  private boolean probeInFlight;
+  private Duration sendLimit;
+  private Duration presumedStart;
   private WorkerState state = WorkerState.GONE;
   private boolean listed;
   private boolean presumedEmpty;
@@ -106,6 +112,31 @@
     ejection.clear();
   }
 
+  /**
+   * Its process seems to have started anew at a time that no endpoint list has told. Like a listed
+   * start, but for what this router learns of it from then on, which holds when the list tells it.
+   */
+  void presumeRestarted(Duration processStart) {
+    restarted(processStart);
+    presumedStart = processStart;
+  }
+
+  /** Whether a listed start is that of the process whose start was presumed. */
+  boolean isPresumedStart(Duration listedStart) {
+    return presumedStart != null
+        && presumedStart.equals(startedAt)
+        && listedStart.compareTo(presumedStart) <= 0;
+  }
+
+  /** The time until which it may be sent attempts and load commands, null for no limit. */
+  Duration sendLimit() {
+    return sendLimit;
+  }
+
+  void sendsLimited(Duration until) {
+    sendLimit = until;
+  }
+
   /** Whether only this router can have loaded replicas there: its process has just started. */
   public boolean isPresumedEmpty() {
     return presumedEmpty;
@@ -190,7 +221,13 @@
 
   /** Whether a load probe is in flight. */
   public boolean isProbed() {
-    return !awaitingProbe.isEmpty();
+    return probeInFlight;
+  }
+
+  /** A load probe is sent. */
+  void probeStarted(Duration now) {
+    probeInFlight = true;
+    lease.probed(now);
   }
 
   /** A request waits for the load probe that is in flight. */
@@ -201,6 +238,7 @@
 
   /** The load probe that was in flight ended. */
   public void probeEnded() {
+    probeInFlight = false;
     awaitingProbe.forEach(Request::probeEnded);
     awaitingProbe.clear();
   }
--- a/src/main/java/switchgap/protocol/resp/ReplyReader.java
+++ b/src/main/java/switchgap/protocol/resp/ReplyReader.java
@@ -59,7 +59,7 @@
     if (tcp.attachment() instanceof RespConnection connection) {
       WorkerCloseReason reason = WorkerCloseReason.of(cause.reason());
       routerEvents.record(new RouterEvent.WorkerClosed(reason, tcp.id(), cause.toString()));
-      events.accept(core -> connection.pool().connectionClosed(core, connection));
+      events.accept(core -> connection.pool().connectionClosed(core, connection, reason));
     }
   }
 }
--- a/src/main/java/switchgap/protocol/resp/RespConnectionManager.java
+++ b/src/main/java/switchgap/protocol/resp/RespConnectionManager.java
@@ -74,8 +74,7 @@
   /** Returns the pool of a worker, which is created where there is none yet. */
   RespConnectionPool poolFor(WorkerEntry worker) {
     if (worker.attachment() == null) {
-      InetSocketAddress address = new InetSocketAddress(worker.host(), worker.port());
-      RespConnectionPool pool = new RespConnectionPool(this, address, limits);
+      RespConnectionPool pool = new RespConnectionPool(this, worker, limits);
       worker.attach(pool);
       pools.add(pool);
     }
--- a/src/main/java/switchgap/protocol/resp/RespConnectionPool.java
+++ b/src/main/java/switchgap/protocol/resp/RespConnectionPool.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import switchgap.policy.api.AttemptOutcome;
 import switchgap.router.RouterCore;
+import switchgap.router.WorkerEntry;
 
 /**
  * The connections to one worker: few, shared, and each with as few exchanges in flight as possible,
@@ -16,6 +17,7 @@
  */
 final class RespConnectionPool {
   private final RespConnectionManager manager;
+  private final WorkerEntry worker;
   private final InetSocketAddress address;
   private final OpenConnections connections = new OpenConnections();
   private final WaitingExchanges waiting;
@@ -24,13 +26,20 @@
   /** The number of connections that are being opened. */
   private int opening;
 
+  /**
+   * Whether the worker refused a connection, or ended the last one that was open, and none was
+   * opened since.
+   */
+  private boolean endedByWorker;
+
   /** Whether the worker is gone for good. */
   private boolean retired;
 
   RespConnectionPool(
-      RespConnectionManager manager, InetSocketAddress address, RespConnectionLimits limits) {
+      RespConnectionManager manager, WorkerEntry worker, RespConnectionLimits limits) {
     this.manager = manager;
-    this.address = address;
+    this.worker = worker;
+    this.address = new InetSocketAddress(worker.host(), worker.port());
     this.waiting = new WaitingExchanges(limits.maxWaitingPerWorker());
     this.maxInFlightPerConnection = limits.maxInFlightPerConnection();
   }
@@ -100,13 +109,22 @@
       manager.connectionEnded();
     } else {
       connections.add(connection);
+      notifyIfReconnected(core);
     }
     settleWaiting(core, AttemptOutcome.NOT_SENT);
   }
 
+  private void notifyIfReconnected(RouterCore core) {
+    if (endedByWorker) {
+      endedByWorker = false;
+      core.workerReconnected(worker);
+    }
+  }
+
   /** A connection could not be opened. */
   void connectFailed(RouterCore core) {
     opening--;
+    endedByWorker |= connections.isEmpty();
     manager.connectionEnded();
     settleWaiting(core, AttemptOutcome.CONNECT_FAILED);
   }
@@ -141,9 +159,10 @@
   }
 
   /** A connection was closed; what was in flight on it may have been executed. */
-  void connectionClosed(RouterCore core, RespConnection connection) {
+  void connectionClosed(RouterCore core, RespConnection connection, WorkerCloseReason reason) {
     if (connections.remove(connection)) {
       manager.connectionEnded();
+      endedByWorker |= connections.isEmpty() && reason.isByWorker();
     }
     connection.closed(core);
   }
--- a/src/main/java/switchgap/protocol/resp/RespExchange.java
+++ b/src/main/java/switchgap/protocol/resp/RespExchange.java
@@ -122,7 +122,7 @@
    */
   boolean maySend(long nowNanos) {
     return state == State.WAITING
-        && (allowedWhileDraining || worker.isAccepting())
+        && (allowedWhileDraining || worker.isAccepting(Duration.ofNanos(nowNanos)))
         && (attempt == null || (attempt.request().isAwaited() && !isOverdue(nowNanos)));
   }
 
--- a/src/main/java/switchgap/protocol/resp/WorkerCloseReason.java
+++ b/src/main/java/switchgap/protocol/resp/WorkerCloseReason.java
@@ -32,6 +32,11 @@
     this.description = description;
   }
 
+  /** Whether the worker ended it, perhaps as its process ended. */
+  boolean isByWorker() {
+    return this == PEER_CLOSED || this == WRITE_FAILED;
+  }
+
   @Override
   public String description() {
     return description;
--- a/src/main/java/switchgap/protocol/sse/ServerSentEventDecoder.java
+++ b/src/main/java/switchgap/protocol/sse/ServerSentEventDecoder.java
@@ -67,6 +67,11 @@
     return lineCount;
   }
 
+  /** Whether fields of an event have been read whose blank line has not. */
+  public boolean hasPartialEvent() {
+    return data.length() > 0 || id != null;
+  }
+
   private boolean append(byte next) {
     if (lineBytes.size() >= maxBytes) {
       return false;
--- a/src/main/java/switchgap/protocol/thrift/ClientCloseReason.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientCloseReason.java
@@ -26,6 +26,8 @@
   RECEIVE_TIMEOUT("receive timeout", true),
   /** It was idle while there were more connections than the limit. */
   EVICTED("evicted for another connection", false),
+  /** The router shuts down, and no request was in flight on it. */
+  SHUTDOWN("router shuts down", false),
   /** Its client does not read its replies, and their bytes have reached the limit. */
   REPLIES_UNREAD("too many unread reply bytes", true),
   /** The client retries a request of this connection, which has ended, on a new one. */
--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -197,18 +197,18 @@
   }
 
   /**
-   * Evicts the connection, unless the selector thread has just read something: either that thread
-   * sees the eviction and rejects the message, or this one sees the message and evicts nothing.
+   * Closes the connection, unless the selector thread has just read something: either that thread
+   * sees the eviction and rejects the message, or this one sees the message and closes nothing.
    *
    * @return whether it was closed
    */
-  boolean evict() {
+  boolean evict(ClientCloseReason reason) {
     evicting = true;
     if (!isIdle()) {
       evicting = false;
       return false;
     }
-    close(ClientCloseReason.EVICTED);
+    close(reason);
     return true;
   }
 
@@ -222,6 +222,11 @@
     return isOpen() && (!isIdle() || hasUnsentReplies());
   }
 
+  /** Whether the client has ever sent a complete message. */
+  boolean hasReceivedMessage() {
+    return receiver.hasReceivedMessage();
+  }
+
   /** Whether the client has sent no message since it connected, longer than the timeout ago. */
   boolean isSilent(Duration now, Duration timeout) {
     return !receiver.hasReceivedMessage() && isQuiet(now, timeout);
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionTable.java
@@ -60,7 +60,7 @@
     }
     candidates.sort((first, second) -> compareForEviction(first, second, now));
     for (ClientConnection evicted : candidates.subList(0, Math.min(excess, candidates.size()))) {
-      if (evicted.evict()) {
+      if (evicted.evict(ClientCloseReason.EVICTED)) {
         connections.remove(evicted);
       }
     }
@@ -104,6 +104,20 @@
     }
   }
 
+  /**
+   * Closes the connections that are idle and quiet, as the router shuts down. One that has carried
+   * no message may be about to carry its first: it has longer.
+   */
+  void closeQuiet(Duration now) {
+    for (ClientConnection connection : snapshot()) {
+      boolean isNew = !connection.hasReceivedMessage();
+      boolean isEnding = !isNew || connection.isSilent(now, silentTimeout);
+      if (isEnding && isEvictable(connection, now)) {
+        connection.evict(ClientCloseReason.SHUTDOWN);
+      }
+    }
+  }
+
   private boolean isEvictable(ClientConnection connection, Duration now) {
     Duration minQuiet = connection.hasUnsentReplies() ? receiveTimeout : MIN_QUIET_DURATION;
     return connection.isOpen() && connection.isIdle() && connection.isQuiet(now, minQuiet);
--- a/src/main/java/switchgap/protocol/thrift/RequestAdmission.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestAdmission.java
@@ -24,6 +24,9 @@
   private final RequestCancellation cancellation;
   private final RouterDiagnostics diagnostics;
 
+  /** Whether the router shuts down and can serve nothing more; event loop only. */
+  private boolean rejectsAll;
+
   RequestAdmission(
       NameDirectory names,
       InFlightRequests inFlight,
@@ -37,6 +40,11 @@
     this.diagnostics = diagnostics;
   }
 
+  /** Answers every request from now on with a rejection. */
+  void rejectAll() {
+    rejectsAll = true;
+  }
+
   /**
    * Offers the submitted request to the core, or answers it.
    *
@@ -107,6 +115,10 @@
   }
 
   private void offer(RouterCore core, ReplyAddress address, PendingRequest request) {
+    if (rejectsAll) {
+      responder.reject(address, request, AnswerReason.SHUTDOWN, core.now());
+      return;
+    }
     boolean hasCapacity = inFlight.hasCapacityFor(request);
     inFlight.add(address, request); // before the offer: the core may respond within it
     if (hasCapacity && core.accept(request)) {
--- a/src/main/java/switchgap/protocol/thrift/RequestCancellation.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestCancellation.java
@@ -101,6 +101,7 @@
                   AnswerReason.SHUTDOWN,
                   core.now()));
       abandonAll(core, connection, AnswerReason.SHUTDOWN);
+      responder.closeIfIdle(connection);
     }
   }
 
--- a/src/main/java/switchgap/protocol/thrift/RequestHandler.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestHandler.java
@@ -53,8 +53,13 @@
     cancellation.connectionClosed(core, connection, reason);
   }
 
-  /** Fails all requests in flight, as the process cannot wait for any of them. */
+  /**
+   * Fails all requests in flight, as the process cannot wait for any of them, rejects all that come
+   * from now on, and closes each connection with the answer after which nothing is in flight on it.
+   */
   void failAll(RouterCore core) {
+    admission.rejectAll();
+    responder.closeIdleConnections();
     cancellation.failAll(core);
   }
 
--- a/src/main/java/switchgap/protocol/thrift/RequestResponder.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestResponder.java
@@ -22,6 +22,9 @@
   private final InFlightRequests inFlight;
   private final RouterDiagnostics diagnostics;
 
+  /** Whether a connection is closed as soon as nothing is in flight on it; event loop only. */
+  private boolean closesIdleConnections;
+
   RequestResponder(
       RouterSettings settings, InFlightRequests inFlight, RouterDiagnostics diagnostics) {
     this.settings = settings;
@@ -34,10 +37,23 @@
     return new ResponseSender(address);
   }
 
+  /** Closes each connection with its next answer after which nothing is in flight on it. */
+  void closeIdleConnections() {
+    closesIdleConnections = true;
+  }
+
+  /** Closes a connection that has just been answered on, if that is wanted and it is idle. */
+  void closeIfIdle(ClientConnection connection) {
+    if (closesIdleConnections && connection.isIdle() && !connection.hasUnsentReplies()) {
+      connection.evict(ClientCloseReason.SHUTDOWN);
+    }
+  }
+
   /** Rejects a request that never reached the policy, with the configured retry-after. */
   void reject(ReplyAddress address, PendingRequest request, AnswerReason reason, Duration now) {
     recordAnswer(request, reason, now);
     sendRejection(address, configuredRetryAfter());
+    closeIfIdle(address.connection());
   }
 
   /** Fails a request: it may have been executed. */
@@ -63,6 +79,7 @@
     recordUnadmittedAnswer(AnswerReason.UNUSABLE, address.connection().id(), cause.getMessage());
     address.sendException(
         DeclaredException.ERROR, Map.of(WireNames.REASON, UNUSABLE_PREFIX + cause.getMessage()));
+    closeIfIdle(address.connection());
   }
 
   private void recordAnswer(PendingRequest request, AnswerReason reason, Duration now) {
@@ -107,6 +124,7 @@
         case FAILED -> address.sendException(DeclaredException.ERROR, Map.of());
         default -> throw new IllegalStateException("response of kind " + response.kind());
       }
+      closeIfIdle(address.connection());
     }
 
     /**
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -171,6 +171,11 @@
     return untracked + connections.activeCount() + unaccepted;
   }
 
+  /** Whether clients may be waiting to be accepted, as accepts are or just were stalled. */
+  public boolean isAcceptStalled() {
+    return listener.isAcceptStalled();
+  }
+
   /** Connections that the event loop tracks. */
   public int trackedConnections() {
     return connections.size();
@@ -181,7 +186,15 @@
     return requests.requestsInFlight();
   }
 
-  /** Fails all requests in flight, as the process cannot wait for any of them. */
+  /** Closes connections without a request in flight that have been quiet for a while. */
+  public void closeQuietConnections(RouterCore core) {
+    connections.closeQuiet(core.now());
+  }
+
+  /**
+   * Fails all requests in flight, as the process cannot wait for any of them, rejects all that come
+   * from now on, and closes each connection with its next answer.
+   */
   public void failPendingRequests(RouterCore core) {
     requests.failAll(core);
   }
--- a/src/main/java/switchgap/router/ActionExecutor.java
+++ b/src/main/java/switchgap/router/ActionExecutor.java
@@ -38,6 +38,11 @@
     attempts.start(requests.get(request), endpoints.get(worker), timeout);
   }
 
+  @Override
+  public void limitSends(int worker, Duration until) {
+    endpoints.get(worker).limitSends(until);
+  }
+
   @Override
   public void cancelAttempt(int request, int number) {
     attempts.cancel(requests.get(request).attempts().get(number));
--- a/src/main/java/switchgap/router/InvariantMonitor.java
+++ b/src/main/java/switchgap/router/InvariantMonitor.java
@@ -53,7 +53,7 @@
     String id = request.id();
     check(request.isPending(), RouterInvariant.ATTEMPT_AFTER_ANSWER, id, now);
     check(!isDisconnected(request, now), RouterInvariant.ATTEMPT_FOR_DISCONNECTED_CLIENT, id, now);
-    check(attempt.worker().isAccepting(), RouterInvariant.ATTEMPT_TO_DRAINING_WORKER, id, now);
+    check(attempt.worker().isAccepting(now), RouterInvariant.ATTEMPT_TO_DRAINING_WORKER, id, now);
     check(now.compareTo(request.deadline()) < 0, RouterInvariant.ATTEMPT_AFTER_DEADLINE, id, now);
     Duration maxTimeout = request.deadline().minus(now).plus(DEADLINE_SLACK);
     check(timeout.compareTo(maxTimeout) <= 0, RouterInvariant.TIMEOUT_PAST_DEADLINE, id, now);
@@ -78,7 +78,7 @@
 
   /** A load command is about to be sent. */
   public void beforeLoad(WorkerEntry worker, Duration now) {
-    check(worker.isAccepting(), RouterInvariant.LOAD_TO_DRAINING_WORKER, worker.name(), now);
+    check(worker.isAccepting(now), RouterInvariant.LOAD_TO_DRAINING_WORKER, worker.name(), now);
   }
 
   /** A request is about to be answered. */
--- a/src/main/java/switchgap/router/RouterCore.java
+++ b/src/main/java/switchgap/router/RouterCore.java
@@ -152,6 +152,25 @@
     endpoints.update(complete, updates, context.now(), context.policyEvents());
   }
 
+  /**
+   * The endpoint list is confirmed until a time since the router's start: from then on changes may
+   * count as notified that have not been received. {@link Duration#ZERO} where it is not now.
+   */
+  public void endpointListConfirmedUntil(Duration time) {
+    context.policyEvents().endpointListConfirmedUntil(time);
+  }
+
+  /**
+   * A connection to a worker was opened after the worker had refused one, or had ended all that
+   * were open.
+   */
+  public void workerReconnected(WorkerEntry worker) {
+    if (endpoints.isKnown(worker)) {
+      context.observer().workerReconnected(worker);
+      context.policyEvents().workerReconnected(worker.index());
+    }
+  }
+
   /** A poll of the endpoint list failed; the last one stays in force. */
   public void endpointListFailed() {
     context.policyEvents().endpointListFailed();
--- a/src/main/java/switchgap/router/RouterEvent.java
+++ b/src/main/java/switchgap/router/RouterEvent.java
@@ -24,6 +24,12 @@
     CLIENT_CLOSED,
     /** A connection to a worker ended. */
     WORKER_CLOSED,
+    /** A load probe of a worker ended. */
+    WORKER_PROBED,
+    /** A worker that had ended its connections, or refused one, accepted one. */
+    WORKER_RECONNECTED,
+    /** The endpoint list became confirmed or unconfirmed. */
+    ENDPOINT_LIST,
     /** An invariant was violated: a fault of this program. */
     INVARIANT_VIOLATED
   }
@@ -225,6 +231,57 @@
     }
   }
 
+  /** A load probe of a worker ended. */
+  record WorkerProbed(String subjectId, AttemptOutcome outcome) implements RouterEvent {
+    @Override
+    public Kind kind() {
+      return Kind.WORKER_PROBED;
+    }
+
+    @Override
+    public String reasonName() {
+      return outcome.name();
+    }
+  }
+
+  /** A worker that had ended its connections, or refused one, accepted one. */
+  record WorkerReconnected(String subjectId) implements RouterEvent {
+    private static final String ACCEPTED = "ACCEPTED";
+
+    @Override
+    public Kind kind() {
+      return Kind.WORKER_RECONNECTED;
+    }
+
+    @Override
+    public String reasonName() {
+      return ACCEPTED;
+    }
+  }
+
+  /** The endpoint list became confirmed or unconfirmed; the subject is the event stream. */
+  record EndpointListState(EndpointListReason reason) implements WithReason {
+    /** What it became. */
+    public enum EndpointListReason implements EventReason {
+      /** All events of the stream so far have been received. */
+      CONFIRMED,
+      /** The stream may have events that have not been received. */
+      UNCONFIRMED
+    }
+
+    private static final String SUBJECT = "stream";
+
+    @Override
+    public Kind kind() {
+      return Kind.ENDPOINT_LIST;
+    }
+
+    @Override
+    public String subjectId() {
+      return SUBJECT;
+    }
+  }
+
   /** An invariant was violated at a time since the router's start. */
   record InvariantViolated(RouterInvariant invariant, String subjectId, Duration time)
       implements RouterEvent {
--- a/src/main/java/switchgap/router/WorkerCommandLifecycle.java
+++ b/src/main/java/switchgap/router/WorkerCommandLifecycle.java
@@ -94,6 +94,7 @@
   /** See {@link RouterCore#probeEnded}. */
   void probeEnded(WorkerCommand command, AttemptOutcome outcome, LoadReport report) {
     if (endsFirst(command) && endpoints.isKnown(command.worker())) {
+      context.observer().probeEnded(command.worker(), outcome);
       context.policyEvents().probeEnded(new ProbeResult(command.worker().index(), outcome, report));
     }
   }
--- a/src/main/java/switchgap/router/WorkerEntry.java
+++ b/src/main/java/switchgap/router/WorkerEntry.java
@@ -15,6 +15,7 @@
   private final int port;
   private volatile boolean accepting = true;
   private volatile Object attachment;
+  private volatile Duration sendLimit;
   private Duration listedStart;
   private Duration startedAt;
   private int index;
@@ -50,6 +51,20 @@
     return accepting;
   }
 
+  /**
+   * Whether an attempt or a load command may be written to it at this time since the router's
+   * start: it accepts, and the limit of {@link #limitSends} has not passed. Any thread.
+   */
+  public boolean isAccepting(Duration now) {
+    Duration limit = sendLimit;
+    return accepting && (limit == null || now.compareTo(limit) <= 0);
+  }
+
+  /** Nothing new is written to it after a time since the router's start; null for no limit. */
+  void limitSends(Duration until) {
+    sendLimit = until;
+  }
+
   /** What the transport attached to it, or null. Any thread. */
   public Object attachment() {
     return attachment;
--- a/src/main/java/switchgap/server/platform/AttemptObserver.java
+++ b/src/main/java/switchgap/server/platform/AttemptObserver.java
@@ -7,8 +7,9 @@
 import switchgap.router.Response;
 import switchgap.router.RouterEvent;
 import switchgap.router.RouterEvents;
+import switchgap.router.WorkerEntry;
 
-/** Records the outcome of each attempt in the router's events. */
+/** Records the outcomes of attempts and probes, and reconnects, in the router's events. */
 final class AttemptObserver implements RequestObserver {
   private final RouterEvents events;
 
@@ -21,6 +22,16 @@
     events.record(new RouterEvent.AttemptEnded(attempt, outcome));
   }
 
+  @Override
+  public void probeEnded(WorkerEntry worker, AttemptOutcome outcome) {
+    events.record(new RouterEvent.WorkerProbed(worker.name(), outcome));
+  }
+
+  @Override
+  public void workerReconnected(WorkerEntry worker) {
+    events.record(new RouterEvent.WorkerReconnected(worker.name()));
+  }
+
   @Override
   public void requestEnded(PendingRequest request, Response response) {}
 }
--- a/src/main/java/switchgap/server/platform/GracefulShutdown.java
+++ b/src/main/java/switchgap/server/platform/GracefulShutdown.java
@@ -3,35 +3,44 @@
 import java.time.Duration;
 
 /**
- * The graceful shutdown of a router after SIGTERM. It reports unhealthy, keeps accepting requests
- * for a while, and ends once it is idle: no request is pending, no message partial or queued for
- * the event loop, no response unwritten. Every request has its response before SIGKILL can come.
+ * The graceful shutdown of a router after SIGTERM. SIGKILL may come 0.7 s after the longest request
+ * timeout, taken as 3 s if it is longer, and clients go on sending on open connections until then.
+ * A request that is unanswered at the end of the process is lost, so the process ends once no
+ * connection is left that could carry one:
  *
- * <p>After SIGTERM clients open connections for 0.4 s and send requests for 0.2 s more; SIGKILL
- * comes 0.7 s after the longest request timeout, taken as 3 s if it is shorter, at the earliest.
+ * <ol>
+ *   <li>Health checks fail; everything is served while clients still open connections.
+ *   <li>The listener is closed, and each connection that is quiet; the others are served on.
+ *   <li>Shortly before SIGKILL can come, pending requests are failed and further ones rejected, and
+ *       each connection is closed with the answer after which nothing is in flight on it. A request
+ *       that crosses such a close is the client's to send again.
+ * </ol>
  */
 final class GracefulShutdown {
-  /** Requests are accepted for at least this long. */
-  private static final Duration MIN_DRAIN_DURATION = Duration.ofSeconds(1);
+  /** Clients open connections for 0.4 s after SIGTERM, and send requests for 0.2 s more. */
+  private static final Duration ROTATION_DURATION = Duration.ofMillis(700);
 
-  /** The platform assumes this timeout if all are shorter. */
-  private static final Duration MIN_LONGEST_TIMEOUT = Duration.ofSeconds(3);
+  /** The platform assumes this timeout if the longest one is longer. */
+  private static final Duration MAX_ASSUMED_TIMEOUT = Duration.ofSeconds(3);
 
-  /**
-   * Past the longest timeout by this much, every request has its response: 0.2 s before SIGKILL.
-   */
-  private static final Duration DEADLINE_MARGIN = Duration.ofMillis(500);
+  /** SIGKILL comes this long after the assumed timeout, at the earliest. */
+  private static final Duration KILL_MARGIN = Duration.ofMillis(700);
+
+  // Times before the earliest SIGKILL at which the last steps begin.
+  private static final Duration STOP_LISTENING_BEFORE_KILL = Duration.ofMillis(350);
+  private static final Duration FAIL_PENDING_BEFORE_KILL = Duration.ofMillis(250);
 
-  private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
+  /** Time for clients that hold a connection after the earliest SIGKILL, if that comes later. */
+  private static final Duration MAX_OVERTIME = Duration.ofSeconds(2);
 
-  /** Consecutive checks that must find the router idle. */
-  private static final int REQUIRED_IDLE_CHECKS = 3;
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(10);
 
-  /** Time for the last responses to be written, before SIGKILL comes. */
-  private static final Duration MAX_FLUSH_DURATION = Duration.ofMillis(120);
+  /** Consecutive checks that must find no connection: one may just have been accepted. */
+  private static final int REQUIRED_EMPTY_CHECKS = 3;
 
   private final PlatformRouter router;
-  private final Duration deadline;
+  private final Duration startedAt;
+  private final Duration earliestKill;
   private final RateLimitedLog log;
 
   /**
@@ -42,36 +51,51 @@
   GracefulShutdown(PlatformRouter router, Duration longestTimeout, RateLimitedLog log) {
     this.router = router;
     this.log = log;
-    Duration assumedTimeout =
-        longestTimeout.compareTo(MIN_LONGEST_TIMEOUT) < 0 ? MIN_LONGEST_TIMEOUT : longestTimeout;
-    this.deadline = router.now().plus(assumedTimeout).plus(DEADLINE_MARGIN);
+    this.startedAt = router.now();
+    Duration assumedTimeout = earlier(longestTimeout, MAX_ASSUMED_TIMEOUT);
+    this.earliestKill = startedAt.plus(assumedTimeout).plus(KILL_MARGIN);
   }
 
-  /** Blocks until the router is idle or the deadline has passed; pending requests fail then. */
+  /** Blocks until no client is connected any more, for a bounded time. */
   void run() throws InterruptedException {
     router.reportHealthy(false);
-    Thread.sleep(MIN_DRAIN_DURATION.toMillis());
-    awaitIdle();
+    sleepUntil(
+        earlier(startedAt.plus(ROTATION_DURATION), earliestKill.minus(STOP_LISTENING_BEFORE_KILL)));
+    awaitAccepts(earliestKill.minus(FAIL_PENDING_BEFORE_KILL));
+    router.stopListening();
+    closeQuietConnectionsUntil(earliestKill.minus(FAIL_PENDING_BEFORE_KILL));
     router.events().counts().forEach((event, count) -> log.trace("count " + event + " " + count));
     log.line("stopped, " + router.resourceUsage().pendingRequests() + " requests pending");
     router.failPendingRequests();
-    flush();
+    closeQuietConnectionsUntil(earliestKill.plus(MAX_OVERTIME));
+  }
+
+  private static Duration earlier(Duration first, Duration second) {
+    return first.compareTo(second) < 0 ? first : second;
   }
 
-  /** Waits until the last responses are written, for a bounded time. */
-  private void flush() throws InterruptedException {
-    Duration end = router.now().plus(MAX_FLUSH_DURATION);
-    do {
+  private void sleepUntil(Duration time) throws InterruptedException {
+    long millis = time.minus(router.now()).toMillis();
+    if (millis > 0) {
+      Thread.sleep(millis);
+    }
+  }
+
+  /** Waits until no client is left in the accept queue, which ends with the listener. */
+  private void awaitAccepts(Duration end) throws InterruptedException {
+    while (router.isAcceptStalled() && router.now().compareTo(end) < 0) {
+      router.closeQuietConnections(); // accepts may wait for their descriptors
       Thread.sleep(CHECK_INTERVAL.toMillis());
-    } while (router.resourceUsage().activeClientConnections() > 0
-        && router.now().compareTo(end) < 0);
+    }
   }
 
-  private void awaitIdle() throws InterruptedException {
-    int idleChecks = 0;
-    while (idleChecks < REQUIRED_IDLE_CHECKS && router.now().compareTo(deadline) < 0) {
+  /** Closes quiet connections until none of any kind is left, or until a time. */
+  private void closeQuietConnectionsUntil(Duration end) throws InterruptedException {
+    int emptyChecks = 0;
+    while (emptyChecks < REQUIRED_EMPTY_CHECKS && router.now().compareTo(end) < 0) {
+      router.closeQuietConnections();
+      emptyChecks = router.openClientConnections() > 0 ? 0 : emptyChecks + 1;
       Thread.sleep(CHECK_INTERVAL.toMillis());
-      idleChecks = router.resourceUsage().activeClientConnections() > 0 ? 0 : idleChecks + 1;
     }
   }
 }
--- a/src/main/java/switchgap/server/platform/PlatformRouter.java
+++ b/src/main/java/switchgap/server/platform/PlatformRouter.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import switchgap.endpoints.EndpointListEvent;
 import switchgap.endpoints.EventStreamClient;
+import switchgap.endpoints.EventStreamListener;
 import switchgap.eventloop.EventLoop;
 import switchgap.net.HttpClientConnector;
 import switchgap.net.ListenRetry;
@@ -17,13 +18,15 @@
 import switchgap.protocol.thrift.ThriftServer;
 import switchgap.router.RouterCore;
 import switchgap.router.RouterDiagnostics;
+import switchgap.router.RouterEvent;
+import switchgap.router.RouterEvent.EndpointListState.EndpointListReason;
 import switchgap.router.RouterEvents;
 
 /**
  * A running router on the platform, from its start to its shutdown; {@link PlatformAssembly} puts
  * its parts together. Its methods are for any thread but the event loop's.
  */
-final class PlatformRouter implements AutoCloseable {
+final class PlatformRouter implements EventStreamListener, AutoCloseable {
   private static final int MAX_EVENT_STREAM_BODY_BYTES = 1 << 16;
   private static final Duration EVENT_LOOP_TIMEOUT = Duration.ofSeconds(2);
 
@@ -35,6 +38,7 @@
   private final ThriftServer clients;
   private final EventStreamClient eventStream;
   private final Duration longestTimeout;
+  private final AtomicReference<EndpointListReason> endpointListState = new AtomicReference<>();
   private volatile boolean isEndpointListKnown;
 
   /**
@@ -56,7 +60,7 @@
             new HttpClientConnector(network, null, MAX_EVENT_STREAM_BODY_BYTES),
             config.lastSequence(),
             config.endpointNames(),
-            this::eventReceived,
+            this,
             log::line);
     startEventLoop(config);
     serve(config);
@@ -100,13 +104,38 @@
     eventStream.follow(address);
   }
 
-  private void eventReceived(EndpointListEvent event) {
+  @Override
+  public void eventReceived(EndpointListEvent event) {
     if (event.updates() == null) {
       return;
     }
     eventLoop.postUrgent(core -> core.endpointListReceived(event.complete(), event.updates()));
   }
 
+  @Override
+  public void listConfirmed(Duration validity) {
+    Duration until = now().plus(validity);
+    eventLoop.postUrgent(core -> core.endpointListConfirmedUntil(until));
+    recordListState(EndpointListReason.CONFIRMED);
+  }
+
+  @Override
+  public void listUnconfirmed() {
+    eventLoop.postUrgent(core -> core.endpointListConfirmedUntil(Duration.ZERO));
+    recordListState(EndpointListReason.UNCONFIRMED);
+  }
+
+  private void recordListState(EndpointListReason state) {
+    if (endpointListState.getAndSet(state) != state) {
+      diagnostics.events().record(new RouterEvent.EndpointListState(state));
+    }
+  }
+
+  /** Whether the endpoint list is confirmed: its event stream delivers. */
+  boolean isEndpointListConfirmed() {
+    return endpointListState.get() == EndpointListReason.CONFIRMED;
+  }
+
   /** Closes what is overdue, and schedules the next sweep. */
   private void sweep(RouterCore core) {
     clients.closeOverdueConnections(core.now());
@@ -186,11 +215,33 @@
     close();
   }
 
-  /** Fails all pending requests. */
+  /**
+   * Closes clients' connections that are idle and quiet; what came on them before this call is read
+   * first.
+   */
+  void closeQuietConnections() throws InterruptedException {
+    network.awaitPendingReads();
+    runOnEventLoop(clients::closeQuietConnections);
+  }
+
+  /** Whether clients may be waiting to be accepted. */
+  boolean isAcceptStalled() {
+    return clients.isAcceptStalled();
+  }
+
+  /**
+   * Fails all pending requests, rejects all that come from now on, and closes each connection with
+   * its next answer.
+   */
   void failPendingRequests() throws InterruptedException {
     runOnEventLoop(clients::failPendingRequests);
   }
 
+  /** Accepts no further connection. */
+  void stopListening() {
+    clients.close();
+  }
+
   /** Closes at once; pending requests get no response. */
   @Override
   public void close() {
--- a/src/test/java/switchgap/endpoints/EventStreamClientFixture.java
+++ b/src/test/java/switchgap/endpoints/EventStreamClientFixture.java
@@ -22,6 +22,7 @@
 
   final EventStreamClient client;
   private final NetworkTransport network;
+  private volatile boolean confirmed;
   private final List<EndpointListEvent> received = new CopyOnWriteArrayList<>();
 
   EventStreamClientFixture(long lastSequence) throws IOException {
@@ -31,10 +32,36 @@
             new HttpClientConnector(network, null, MAX_BODY_BYTES),
             lastSequence,
             NAMES,
-            received::add,
+            new RecordingListener(),
             line -> {});
   }
 
+  private final class RecordingListener implements EventStreamListener {
+    @Override
+    public void eventReceived(EndpointListEvent event) {
+      received.add(event);
+    }
+
+    @Override
+    public void listConfirmed(Duration validity) {
+      confirmed = true;
+    }
+
+    @Override
+    public void listUnconfirmed() {
+      confirmed = false;
+    }
+  }
+
+  /** Waits until the list is confirmed, or until it is not. */
+  void awaitConfirmed(boolean expected) throws InterruptedException {
+    await(() -> confirmed == expected);
+  }
+
+  boolean isConfirmed() {
+    return confirmed;
+  }
+
   /** The event with this number, which changes one worker. */
   static String event(long sequence) {
     return EventStreamTestServer.endpointListEvent(
--- a/src/test/java/switchgap/policy/TestSettings.java
+++ b/src/test/java/switchgap/policy/TestSettings.java
@@ -126,6 +126,11 @@
     return millis(500);
   }
 
+  @Override
+  public Duration drainGrace() {
+    return millis(500);
+  }
+
   @Override
   public double slowStartCapacityShare() {
     return 0.2;
--- a/src/test/java/switchgap/server/platform/DiscoveryOutageTest.java
+++ b/src/test/java/switchgap/server/platform/DiscoveryOutageTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -37,8 +38,20 @@
 
   private final DrainableWorker drainable = new DrainableWorker();
   private RespTestServer drained;
+  private volatile boolean silent;
   private int submitted;
 
+  /** The stream of the fixture, which would confirm the list at each request. */
+  @BeforeEach
+  void replaceEventStream() throws Exception {
+    eventStream.close();
+    eventStream =
+        new EventStreamTestServer(
+            (connection, lastEventId, output) ->
+                silent || EventStreamTestServer.sendHeartbeat(connection, lastEventId, output));
+    resources.add(eventStream);
+  }
+
   private ThriftTestClient startWithThreeWorkers() throws Exception {
     drained = new RespTestServer(drainable);
     startRouter(
@@ -98,6 +111,7 @@
   @EnumSource(Outage.class)
   void sendsNothingToWorkerThatDrains(Outage outage) throws Exception {
     ThriftTestClient client = startWithThreeWorkers();
+    silent = true;
     if (outage == Outage.REFUSES_CONNECTIONS) {
       eventStream.close();
     }
@@ -121,10 +135,11 @@
   }
 
   @Test
-  void servesWhileStreamNeverDelivers() throws Exception {
+  void servesWhileStreamDeliversNothing() throws Exception {
     RespTestServer worker = RespTestServer.executingAll();
     startRouter(MANY_SOCKETS, worker);
     ThriftTestClient client = connectClient();
-    assertThat(submitFor(client, OBSERVED)).isZero();
+    silent = true;
+    assertThat(submitFor(client, OBSERVED.multipliedBy(2))).isZero();
   }
 }
--- a/src/test/java/switchgap/server/platform/EventStreamTestServer.java
+++ b/src/test/java/switchgap/server/platform/EventStreamTestServer.java
@@ -116,6 +116,13 @@
     sendEvent(open.get(open.size() - 1).getOutputStream(), event);
   }
 
+  /** Sends one heartbeat, which confirms the endpoint list, and leaves the connection open. */
+  public static boolean sendHeartbeat(int connection, long lastEventId, OutputStream output)
+      throws IOException {
+    output.write(HEARTBEAT);
+    return true;
+  }
+
   /**
    * Sends a heartbeat on each connection that has requested the stream, as the protocol demands.
    */
--- a/src/test/java/switchgap/server/platform/PlatformFixture.java
+++ b/src/test/java/switchgap/server/platform/PlatformFixture.java
@@ -40,7 +40,7 @@
 
   @BeforeEach
   void startEventStream() throws Exception {
-    eventStream = new EventStreamTestServer((connection, lastEventId, output) -> true);
+    eventStream = new EventStreamTestServer(EventStreamTestServer::sendHeartbeat);
     resources.add(eventStream);
   }
 
@@ -73,6 +73,7 @@
     PlatformConfig config = PlatformConfig.read(environment, System.currentTimeMillis());
     router = new PlatformRouter(config, new RateLimitedLog());
     resources.add(0, router);
+    await(router::isEndpointListConfirmed);
     return router;
   }
 
