The soak plays outages of discovery, restarts of workers and the earliest kill under load

Need: the soak's workers took requests while they drained, its outages of the event stream lasted 3 s at most with nothing in them, and its clients stopped as a router was told to stop. The judge's own fault: requests of a batch whose later send failed stayed pending. WorkerLeasesTest: 18 cases.

--- a/src/main/java/switchgap/cli/SoakCommand.java
+++ b/src/main/java/switchgap/cli/SoakCommand.java
@@ -11,6 +11,7 @@
 import picocli.CommandLine.Option;
 import switchgap.testbed.soak.Soak;
 import switchgap.testbed.soak.SoakFaultType;
+import switchgap.testbed.soak.SoakProfile;
 
 /** Runs real router processes on loopback under faults drawn from a seed. */
 @Command(
@@ -37,6 +38,12 @@
       description = "of load (default: ${DEFAULT-VALUE})")
   private int seconds;
 
+  @Option(
+      names = "--profile",
+      defaultValue = "MIXED",
+      description = "which faults: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE})")
+  private SoakProfile profile;
+
   @Option(
       names = "--without",
       split = ",",
@@ -69,6 +76,7 @@
                 seed,
                 routers,
                 seconds,
+                profile,
                 without,
                 Soak.runCommand(deployFile),
                 directory.toAbsolutePath()),
--- a/src/main/java/switchgap/testbed/process/ProcessSignal.java
+++ b/src/main/java/switchgap/testbed/process/ProcessSignal.java
@@ -15,7 +15,9 @@
   /** Resumes a suspended process. */
   CONT,
   /** Asks the process to read its configuration again. */
-  HUP;
+  HUP,
+  /** Interrupts the process, as a terminal does. */
+  INT;
 
   /**
    * Sends this signal and waits until it was sent.
--- a/src/main/java/switchgap/testbed/soak/ClientEmulator.java
+++ b/src/main/java/switchgap/testbed/soak/ClientEmulator.java
@@ -22,10 +22,21 @@
   private final SoakRecords records;
   private final ActiveFaults active;
   private final Random random;
+  private final int maxTimeoutMillis;
   private volatile boolean stopped;
 
-  /** A client; of the active faults it plays those of clients. */
-  ClientEmulator(ServeProcess router, SoakRecords records, ActiveFaults active, long seed) {
+  /**
+   * A client; of the active faults it plays those of clients.
+   *
+   * @param maxTimeoutMillis the longest timeout of requests
+   */
+  ClientEmulator(
+      ServeProcess router,
+      SoakRecords records,
+      ActiveFaults active,
+      int maxTimeoutMillis,
+      long seed) {
+    this.maxTimeoutMillis = Math.min(maxTimeoutMillis, RecordingConnection.MAX_TIMEOUT_MILLIS);
     this.router = router;
     this.records = records;
     this.active = active;
@@ -56,7 +67,7 @@
     List<ObservedRequest> lost = List.of();
     try (RecordingConnection connection = connect()) {
       int batches = 1 + random.nextInt(MAX_BATCHES);
-      for (int batch = 0; batch < batches && router.isInRotation() && !stopped; batch++) {
+      for (int batch = 0; mayGoOn(batch, batches); batch++) {
         lost = sendBatch(connection, batch == 0);
         if (!lost.isEmpty() || connection.isClosedByClient()) {
           break;
@@ -68,32 +79,40 @@
     }
     for (ObservedRequest request : lost) {
       boolean sameProcess = router.incarnation().equals(request.destination());
-      if (!request.isFirstOnConnection() && sameProcess) {
+      if (!request.isFirstOnConnection() && sameProcess && request.crossedClose()) {
         resend(request);
       }
     }
   }
 
+  /** Where no new connection is to be opened, an open one is used for as long as it lasts. */
+  private boolean mayGoOn(int batch, int batches) {
+    boolean isLastConnection = router.isServing() && !router.isInRotation();
+    return !stopped && router.isServing() && (batch < batches || isLastConnection);
+  }
+
   private RecordingConnection connect() throws IOException {
     return new RecordingConnection(router, records, active, random);
   }
 
   /** Sends some requests and awaits their responses; returns those whose connection was lost. */
   private List<ObservedRequest> sendBatch(RecordingConnection connection, boolean first)
-      throws IOException, InterruptedException {
+      throws InterruptedException {
     int size = BATCH_SIZES[random.nextInt(BATCH_SIZES.length)];
-    for (int i = 0; i < size; i++) {
-      connection.send(newRequest(first));
+    try {
+      for (int i = 0; i < size; i++) {
+        connection.send(newRequest(first));
+      }
+      cancelByFault(connection);
+    } catch (IOException e) {
+      return connection.connectionLost(); // those of the batch that were sent whole
     }
-    cancelByFault(connection);
     return connection.awaitResponses();
   }
 
   private ObservedRequest newRequest(boolean firstOnConnection) {
     String id = String.format("%016x", LAST_ID.incrementAndGet());
-    int timeoutMillis =
-        MIN_TIMEOUT_MILLIS
-            + random.nextInt(RecordingConnection.MAX_TIMEOUT_MILLIS - MIN_TIMEOUT_MILLIS);
+    int timeoutMillis = MIN_TIMEOUT_MILLIS + random.nextInt(maxTimeoutMillis - MIN_TIMEOUT_MILLIS);
     boolean idempotent = random.nextInt(3) > 0;
     return new ObservedRequest(
         id, router.incarnation(), idempotent, timeoutMillis, firstOnConnection);
@@ -121,7 +140,12 @@
       connection.send(request.copyForResend());
       connection.awaitResponses();
     } catch (IOException e) {
-      request.resendFailed(); // the router has gone: the first request is judged
+      boolean isShutDown = !router.isInRotation() && router.closedByItself(request.endedNanos());
+      if (isShutDown && request.crossedClose()) {
+        request.resendRefused(); // no router has taken it
+      } else {
+        request.resendFailed(); // the router has gone: the first request is judged
+      }
     }
   }
 }
--- a/src/main/java/switchgap/testbed/soak/EmulatedFleet.java
+++ b/src/main/java/switchgap/testbed/soak/EmulatedFleet.java
@@ -15,6 +15,9 @@
   private static final String DRAINING = "DRAINING";
   private static final String DELETED = "DELETED";
 
+  /** Workers that serve at any time. */
+  private static final int MIN_SERVING = 4;
+
   /** Boot time of a worker whose start is long past, or is not stated. */
   private static final long NO_BOOT_TIME = 0;
 
@@ -24,6 +27,7 @@
   private final SoakRecords records;
   private final ScheduledExecutorService timers;
   private int lastNumber;
+  private int restarts;
 
   /** Starts a fleet of workers that are warm. */
   EmulatedFleet(int workers, SoakRecords records, ScheduledExecutorService timers)
@@ -63,7 +67,7 @@
   }
 
   private long bootMillis(WorkerEmulator worker) {
-    WorkerTimeline timeline = records.worker(worker.name());
+    WorkerTimeline timeline = records.worker(worker.recordName());
     return timeline.startedDuringRun() ? unixMillis(timeline.startedNanos()) : NO_BOOT_TIME;
   }
 
@@ -84,14 +88,48 @@
    */
   synchronized WorkerEmulator replace(int draw) throws IOException {
     WorkerEmulator old = serving.remove(Math.floorMod(draw, serving.size()));
+    old.drain();
     WorkerEmulator created = start(WorkerTimeline.startedAt(nextName(), System.nanoTime()));
     publish(
         false,
         List.of(line(old, DRAINING, NO_BOOT_TIME), line(created, SERVING, bootMillis(created))));
-    records.worker(old.name()).drainingAt(System.nanoTime());
+    records.worker(old.recordName()).drainingAt(System.nanoTime());
     return old;
   }
 
+  /**
+   * A worker begins to drain, and will be started again.
+   *
+   * @param draw chooses the worker
+   * @return the worker; null where too few would be left
+   */
+  synchronized WorkerEmulator drain(int draw) {
+    if (serving.size() <= MIN_SERVING) {
+      return null;
+    }
+    WorkerEmulator drained = serving.remove(Math.floorMod(draw, serving.size()));
+    drained.drain();
+    publish(false, List.of(line(drained, DRAINING, NO_BOOT_TIME)));
+    records.worker(drained.recordName()).drainingAt(System.nanoTime());
+    return drained;
+  }
+
+  /**
+   * A worker that was removed starts again, cold, under its name.
+   *
+   * @param moves whether at another address
+   */
+  synchronized void restart(WorkerEmulator removed, boolean moves) throws IOException {
+    restarts++;
+    String recordName = removed.name() + "#" + restarts;
+    int port = moves ? WorkerEmulator.ANY_PORT : removed.port();
+    WorkerEmulator started = new WorkerEmulator(removed.name(), recordName, port, records, timers);
+    records.addWorker(WorkerTimeline.startedAt(recordName, System.nanoTime()));
+    serving.add(started);
+    all.add(started);
+    publish(false, List.of(line(started, SERVING, bootMillis(started))));
+  }
+
   /** Ends a draining worker and publishes that it is gone. */
   synchronized void remove(WorkerEmulator worker) throws IOException {
     publish(false, List.of(line(worker, DELETED, NO_BOOT_TIME)));
--- a/src/main/java/switchgap/testbed/soak/EventStreamEmulator.java
+++ b/src/main/java/switchgap/testbed/soak/EventStreamEmulator.java
@@ -5,6 +5,7 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +20,7 @@
  */
 final class EventStreamEmulator implements AutoCloseable {
   private static final int BACKLOG = 200;
+  private static final int ANY_PORT = 0;
   private static final long POLL_MILLIS = 20;
   private static final long HEARTBEAT_NANOS = 1_000_000_000L;
   private static final String LAST_EVENT_HEADER = "last-event-id:";
@@ -29,10 +31,39 @@
   private static final byte[] INCOMPLETE_EVENT =
       "id: 9\ndata: {\"n\":".getBytes(StandardCharsets.US_ASCII);
 
+  private static final byte[] UNAVAILABLE =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+          .getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] INVALID_EVENT =
+      "id: 9\ndata: {\"n\":\"none\"}\n\n:\n\n".getBytes(StandardCharsets.US_ASCII);
+
+  /** How the stream is out of reach. */
+  enum Failure {
+    /** It is not. */
+    NONE,
+    /** Connections stay open and deliver nothing. */
+    SILENT,
+    /** Connections end, and new ones get no response. */
+    NO_RESPONSE,
+    /** Connections end, and new ones are refused. */
+    REFUSED,
+    /** Connections end, and requests get an error. */
+    UNAVAILABLE,
+    /** Connections end, and new ones deliver an invalid event and heartbeats. */
+    INVALID;
+
+    /** Whether open connections end, and what the stream has counts as notified after a break. */
+    boolean isBreak() {
+      return this != NONE && this != SILENT;
+    }
+  }
+
   private final List<String> log;
-  private final ServerSocket listener;
+  private final int port;
+  private volatile ServerSocket listener;
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean silent;
+  private volatile Failure failure = Failure.NONE;
 
   /**
    * Starts an address of the stream at a free port of the loopback address.
@@ -41,12 +72,47 @@
    */
   EventStreamEmulator(List<String> log) throws IOException {
     this.log = log;
-    this.listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-    DaemonThreads.start("feed", this::acceptAll);
+    listen(ANY_PORT);
+    port = listener.getLocalPort();
+  }
+
+  private void listen(int port) throws IOException {
+    ServerSocket opened = new ServerSocket();
+    opened.setReuseAddress(true);
+    opened.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+    listener = opened;
+    DaemonThreads.start("feed", () -> acceptAll(opened));
+  }
+
+  /** Fails in this way until {@link #recover}. */
+  void fail(Failure how) throws IOException {
+    failure = how;
+    silent = how == Failure.SILENT;
+    if (how == Failure.REFUSED) {
+      listener.close();
+    }
+    if (how.isBreak()) {
+      cutConnections();
+    }
+  }
+
+  /** Works again, at the same address. */
+  void recover() throws IOException {
+    Failure before = failure;
+    failure = Failure.NONE;
+    silent = false;
+    if (before == Failure.REFUSED) {
+      listen(port);
+    }
+    for (Socket socket : connections) {
+      if (before.isBreak()) {
+        socket.close(); // it carries no response
+      }
+    }
   }
 
   String address() {
-    return "127.0.0.1:" + listener.getLocalPort();
+    return "127.0.0.1:" + port;
   }
 
   /** Sends nothing on open connections, or goes on. */
@@ -68,10 +134,10 @@
     }
   }
 
-  private void acceptAll() {
+  private void acceptAll(ServerSocket opened) {
     try {
       while (true) {
-        Socket socket = listener.accept();
+        Socket socket = opened.accept();
         connections.add(socket);
         DaemonThreads.start("feed", () -> serve(socket));
       }
@@ -84,10 +150,12 @@
     try (socket) {
       int sent = readLastEventId(socket);
       OutputStream out = socket.getOutputStream();
-      out.write(HEAD);
+      if (!beginResponse(out)) {
+        return;
+      }
       long heartbeatAt = System.nanoTime();
       while (connections.contains(socket) && !socket.isClosed()) {
-        if (!silent) {
+        if (!silent && failure == Failure.NONE) {
           sent = sendEventsAfter(sent, out);
           if (System.nanoTime() - heartbeatAt >= 0) {
             out.write(HEARTBEAT);
@@ -103,6 +171,20 @@
     }
   }
 
+  /** Returns whether the connection is to stay open. */
+  private boolean beginResponse(OutputStream out) throws IOException {
+    switch (failure) {
+      case NO_RESPONSE -> {}
+      case UNAVAILABLE -> out.write(UNAVAILABLE);
+      case INVALID -> {
+        out.write(HEAD);
+        out.write(INVALID_EVENT);
+      }
+      default -> out.write(HEAD);
+    }
+    return failure != Failure.UNAVAILABLE;
+  }
+
   private int sendEventsAfter(int lastSent, OutputStream out) throws IOException {
     int sent = lastSent;
     for (; sent < log.size(); sent++) {
--- a/src/main/java/switchgap/testbed/soak/FaultRunner.java
+++ b/src/main/java/switchgap/testbed/soak/FaultRunner.java
@@ -21,13 +21,15 @@
    * @param eventStream address of the event stream that the routers were started with
    * @param records receives outages, and faults that could not be injected
    * @param active receives the types that are active, for the clients
+   * @param timeoutMillis the longest timeout of requests
    */
   FaultRunner(
       List<ServeProcess> routers,
       EmulatedFleet fleet,
       EventStreamEmulator eventStream,
       SoakRecords records,
-      ActiveFaults active) {
+      ActiveFaults active,
+      int timeoutMillis) {
     this.records = records;
     this.active = active;
     RouterPool pool = new RouterPool(routers);
@@ -35,7 +37,8 @@
         new EventStreamFaults(routers, fleet, eventStream, records);
     injectors.putAll(eventStreamFaults.injectors());
     injectors.putAll(
-        new RouterProcessFaults(pool, fleet, eventStreamFaults::address, records).injectors());
+        new RouterProcessFaults(pool, fleet, eventStreamFaults::address, records, timeoutMillis)
+            .injectors());
     injectors.putAll(new WorkerMisbehaviourFaults(fleet).injectors());
     injectors.putAll(new ClientLoadFaults(pool).injectors());
     injectors.putAll(new SystemCallFaultInjectors(pool, records).injectors());
--- a/src/main/java/switchgap/testbed/soak/ObservedRequest.java
+++ b/src/main/java/switchgap/testbed/soak/ObservedRequest.java
@@ -24,6 +24,9 @@
     CANCELLED
   }
 
+  /** The platform's bound of the time by which a request and a close may cross. */
+  private static final long MAX_CROSSING_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
   private final String id;
   private final RouterIncarnation destination;
   private final boolean idempotent;
@@ -105,6 +108,16 @@
     resent = true;
   }
 
+  /** Whether it crossed the close of its connection: it was sent shortly before the end. */
+  boolean crossedClose() {
+    return endedNanos - sentNanos < MAX_CROSSING_NANOS + CheckTolerances.MEASUREMENT_NANOS;
+  }
+
+  /** The resend was refused by a router that shuts down; it was never taken. */
+  void resendRefused() {
+    resent = true;
+  }
+
   /** The resend found no router. */
   void resendFailed() {
     resent = false;
--- a/src/main/java/switchgap/testbed/soak/OutageCause.java
+++ b/src/main/java/switchgap/testbed/soak/OutageCause.java
@@ -8,6 +8,8 @@
   ROUTER_KILLED,
   /** The process could accept no connection. */
   ACCEPT_FAILING,
-  /** The event stream delivered nothing, or delivered it late. */
-  EVENT_STREAM
+  /** The event stream was silent, or had moved: what it had counts as notified after 4 s. */
+  EVENT_STREAM,
+  /** The event stream had broken off or was unusable: what it had counts as notified after 2 s. */
+  EVENT_STREAM_BROKEN
 }
--- a/src/main/java/switchgap/testbed/soak/RecordingConnection.java
+++ b/src/main/java/switchgap/testbed/soak/RecordingConnection.java
@@ -158,7 +158,8 @@
     return body.equals(request.id() + ":" + BODY);
   }
 
-  private List<ObservedRequest> connectionLost() {
+  /** The connection has ended; returns the requests that were pending on it. */
+  List<ObservedRequest> connectionLost() {
     long now = System.nanoTime();
     List<ObservedRequest> lost =
         requests.values().stream().filter(ObservedRequest::isPending).toList();
--- a/src/main/java/switchgap/testbed/soak/RouterProcessFaults.java
+++ b/src/main/java/switchgap/testbed/soak/RouterProcessFaults.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import switchgap.testbed.process.ProcessSignal;
 
@@ -13,16 +14,26 @@
 
   private static final int MAX_ROUTERS_AT_ONCE = 4;
 
+  // The platform's figures of a planned restart.
+  private static final int NEW_CONNECTIONS_MILLIS = 400;
+  private static final int MAX_ASSUMED_TIMEOUT_MILLIS = 3000;
+  private static final int KILL_MARGIN_MILLIS = 700;
+
+  private static final int MAX_FURTHER_SIGNALS = 4;
+
   private final RouterPool routers;
   private final EmulatedFleet fleet;
   private final Supplier<String> eventStreamAddress;
   private final SoakRecords records;
+  private final int timeoutMillis;
 
   RouterProcessFaults(
       RouterPool routers,
       EmulatedFleet fleet,
       Supplier<String> eventStreamAddress,
-      SoakRecords records) {
+      SoakRecords records,
+      int timeoutMillis) {
+    this.timeoutMillis = timeoutMillis;
     this.routers = routers;
     this.fleet = fleet;
     this.eventStreamAddress = eventStreamAddress;
@@ -33,6 +44,8 @@
     return Map.of(
         SoakFaultType.ROUTER_TERM,
         (fault, random) -> terminate(routers.draw(random)),
+        SoakFaultType.ROUTER_TERM_UNDER_LOAD,
+        (fault, random) -> terminateUnderLoad(routers.draw(random), random),
         SoakFaultType.ROUTER_KILL,
         (fault, random) -> killSome(random),
         SoakFaultType.ROUTER_PAUSE,
@@ -52,6 +65,36 @@
     }
   }
 
+  /**
+   * SIGTERM, further signals, and SIGKILL as early as the platform may send it. Clients open no
+   * connection after a while, and go on sending on open ones.
+   */
+  private void terminateUnderLoad(ServeProcess router, Random random)
+      throws IOException, InterruptedException {
+    synchronized (router) {
+      if (!router.isInRotation()) {
+        return; // it is being restarted
+      }
+      long startNanos = System.nanoTime();
+      router.signal(ProcessSignal.TERM);
+      router.sendSeries(random.nextInt(MAX_FURTHER_SIGNALS + 1), random);
+      sleepUntil(startNanos, NEW_CONNECTIONS_MILLIS);
+      router.takeNoNewClients();
+      int assumedMillis = Math.min(timeoutMillis, MAX_ASSUMED_TIMEOUT_MILLIS);
+      sleepUntil(startNanos, assumedMillis + KILL_MARGIN_MILLIS);
+      router.killIfAlive();
+      router.takeOutOfRotation();
+      restart(router);
+    }
+  }
+
+  private static void sleepUntil(long startNanos, int atMillis) throws InterruptedException {
+    long left = startNanos + TimeUnit.MILLISECONDS.toNanos(atMillis) - System.nanoTime();
+    if (left > 0) {
+      TimeUnit.NANOSECONDS.sleep(left);
+    }
+  }
+
   private void killSome(Random random) throws IOException, InterruptedException {
     for (int i = random.nextInt(MAX_ROUTERS_AT_ONCE); i >= 0; i--) {
       kill(routers.draw(random));
--- a/src/main/java/switchgap/testbed/soak/ServeProcess.java
+++ b/src/main/java/switchgap/testbed/soak/ServeProcess.java
@@ -9,6 +9,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import switchgap.testbed.process.ChildProcess;
 import switchgap.testbed.process.ProcessSignal;
@@ -34,6 +35,9 @@
   private static final int HEARTBEAT_TIMEOUT_MILLIS = 2000;
   private static final long POLL_MILLIS = 10;
   private static final int STOP_TIMEOUT_SECONDS = 8;
+  private static final int MAX_SIGNAL_INTERVAL_MILLIS = 100;
+  private static final List<ProcessSignal> STOPPING_SIGNALS =
+      List.of(ProcessSignal.TERM, ProcessSignal.HUP, ProcessSignal.INT);
 
   /** Name of the log event by which a router reports a violation that it found itself. */
   private static final String SELF_REPORTED_VIOLATION = "INVARIANT_VIOLATED";
@@ -52,6 +56,8 @@
   private Process process;
   private volatile RouterIncarnation incarnation;
   private volatile boolean inRotation;
+  private volatile boolean serving;
+  private volatile long killedNanos;
 
   /**
    * A router that is not started yet.
@@ -103,6 +109,44 @@
   /** Clients are to send no more requests to it, until its next incarnation is ready. */
   void takeOutOfRotation() {
     inRotation = false;
+    serving = false;
+  }
+
+  /** Clients are to open no more connections to it, and may go on sending on open ones. */
+  void takeNoNewClients() {
+    inRotation = false;
+  }
+
+  /** Whether clients may send requests on open connections. */
+  boolean isServing() {
+    return serving;
+  }
+
+  /**
+   * Whether a connection that ended at this time was closed by the router: SIGKILL came later, or
+   * never.
+   */
+  boolean closedByItself(long endedNanos) {
+    return killedNanos == 0 || endedNanos < killedNanos;
+  }
+
+  /** Sends some signals to a process that was asked to stop, one soon after the other. */
+  void sendSeries(int count, Random random) throws IOException, InterruptedException {
+    for (int i = 0; i < count && process.isAlive(); i++) {
+      Thread.sleep(random.nextInt(MAX_SIGNAL_INTERVAL_MILLIS));
+      STOPPING_SIGNALS.get(random.nextInt(STOPPING_SIGNALS.size())).send(process);
+    }
+  }
+
+  /** Sends SIGKILL, unless the process has ended; that must have been with success. */
+  void killIfAlive() throws IOException, InterruptedException {
+    if (process.isAlive()) {
+      killedNanos = System.nanoTime();
+      signal(ProcessSignal.KILL);
+      process.waitFor();
+    } else if (process.exitValue() != 0) {
+      fault("ended with " + process.exitValue() + " after SIGTERM");
+    }
   }
 
   /** Replaces the configuration: the event stream's address and the events so far. */
@@ -166,6 +210,8 @@
       }
       Thread.sleep(POLL_MILLIS);
     }
+    killedNanos = 0;
+    serving = true;
     inRotation = true;
   }
 
--- a/src/main/java/switchgap/testbed/soak/Soak.java
+++ b/src/main/java/switchgap/testbed/soak/Soak.java
@@ -27,6 +27,7 @@
    * @param seed of the faults and the clients
    * @param routers number of router processes
    * @param seconds length of the load
+   * @param profile which faults are played
    * @param leftOut types of faults that are drawn and not played
    * @param runCommand shell command that starts one router from the root of the repository
    * @param directory for configurations and logs
@@ -35,12 +36,16 @@
       long seed,
       int routers,
       int seconds,
+      SoakProfile profile,
       Set<SoakFaultType> leftOut,
       String runCommand,
       Path directory) {}
 
   private static final int WORKERS = 8;
   private static final int CLIENTS_PER_ROUTER = 3;
+  private static final int CROWD_PER_ROUTER = 10;
+  private static final int SEEDS_PER_CROWD = 4;
+  private static final int[] TIMEOUTS_MILLIS = {3000, 1000, 500};
   private static final int TIMER_THREADS = 4;
   private static final int SETTLE_MILLIS = 2500;
   private static final int MAX_PRINTED_VIOLATIONS = 20;
@@ -89,9 +94,20 @@
   }
 
   private boolean play() throws IOException, InterruptedException {
-    List<PlannedFault> faults = FaultPlan.draw(options.seed, options.seconds, options.leftOut);
+    List<PlannedFault> faults =
+        options.profile.plan(options.seed, options.seconds, options.leftOut);
     out.println(
-        "seed " + options.seed + ", " + options.routers + " routers, " + options.seconds + " s");
+        "seed "
+            + options.seed
+            + ", "
+            + options.routers
+            + " routers, "
+            + options.seconds
+            + " s, timeouts of "
+            + timeoutMillis()
+            + " ms, "
+            + clientsPerRouter()
+            + " clients a router");
     faults.forEach(fault -> out.println("  " + fault));
     Thread killRouters = new Thread(() -> routers.forEach(ServeProcess::destroy));
     Runtime.getRuntime().addShutdownHook(killRouters); // a soak that is stopped leaves no routers
@@ -99,7 +115,8 @@
         EventStreamEmulator eventStream = new EventStreamEmulator(fleet.events())) {
       startRouters(fleet, eventStream);
       startClients();
-      playFaults(faults, new FaultRunner(routers, fleet, eventStream, records, active));
+      playFaults(
+          faults, new FaultRunner(routers, fleet, eventStream, records, active, timeoutMillis()));
       stopClients();
       stopRouters();
       readSelfReportedViolations();
@@ -111,16 +128,29 @@
     return report();
   }
 
+  /** The longest timeout of requests: one seed in three has a short one, one a long one. */
+  private int timeoutMillis() {
+    return TIMEOUTS_MILLIS[Math.floorMod(options.seed, TIMEOUTS_MILLIS.length)];
+  }
+
+  /** One seed in four has a crowd of clients. */
+  private int clientsPerRouter() {
+    boolean isCrowd = Math.floorMod(options.seed, SEEDS_PER_CROWD) == 0;
+    return isCrowd ? CROWD_PER_ROUTER : CLIENTS_PER_ROUTER;
+  }
+
   private void startRouters(EmulatedFleet fleet, EventStreamEmulator eventStream)
       throws IOException, InterruptedException {
     ServeProcess.Launch launch =
         new ServeProcess.Launch(
             options.runCommand, options.directory, SystemCallFaults.compile(options.directory));
     String settings = readSettings();
+    long micros = TimeUnit.MILLISECONDS.toMicros(timeoutMillis());
     int[] ports = LoopbackPorts.free(options.routers);
     for (int i = 0; i < options.routers; i++) {
       ServeProcess router =
-          new ServeProcess(i, ports[i], settings.formatted(options.routers, i), launch, records);
+          new ServeProcess(
+              i, ports[i], settings.formatted(options.routers, i, micros, micros), launch, records);
       router.configure(eventStream.address(), fleet.events());
       router.start();
       routers.add(router);
@@ -139,8 +169,9 @@
   private void startClients() {
     Random random = new Random(options.seed);
     for (ServeProcess router : routers) {
-      for (int i = 0; i < CLIENTS_PER_ROUTER; i++) {
-        ClientEmulator client = new ClientEmulator(router, records, active, random.nextLong());
+      for (int i = 0; i < clientsPerRouter(); i++) {
+        ClientEmulator client =
+            new ClientEmulator(router, records, active, timeoutMillis(), random.nextLong());
         clients.add(client);
         Thread thread = new Thread(client, "client");
         thread.setDaemon(true);
@@ -203,15 +234,17 @@
 
   private boolean report() {
     List<Violation> violations = SoakChecker.check(records);
-    long served =
-        records.requests().stream()
-            .filter(each -> each.outcome() == ObservedRequest.Outcome.SERVED)
-            .count();
     out.println(
         "requests "
             + records.requests().size()
             + ", served "
-            + served
+            + count(ObservedRequest.Outcome.SERVED)
+            + ", rejected "
+            + count(ObservedRequest.Outcome.REJECTED)
+            + ", failed "
+            + count(ObservedRequest.Outcome.FAILED)
+            + ", cancelled "
+            + count(ObservedRequest.Outcome.CANCELLED)
             + ", attempts "
             + records.attempts().size()
             + ", kills "
@@ -223,6 +256,10 @@
     return violations.isEmpty();
   }
 
+  private long count(ObservedRequest.Outcome outcome) {
+    return records.requests().stream().filter(each -> each.outcome() == outcome).count();
+  }
+
   private void print(Violation violation) {
     out.println("BROKEN " + violation.invariant().soakLabel() + ": " + violation.description());
   }
--- a/src/main/java/switchgap/testbed/soak/SoakChecker.java
+++ b/src/main/java/switchgap/testbed/soak/SoakChecker.java
@@ -14,6 +14,7 @@
   private final ViolationRecorder violations = new ViolationRecorder();
   private final List<RequestCheck> requestChecks;
   private final List<AttemptCheck> attemptChecks;
+  private final DrainGraceCheck drainGrace;
   private final DuplicateExecutionCheck duplicateExecutions;
   private final WarmUpLoadCheck warmUpLoad;
 
@@ -21,11 +22,12 @@
     this.records = records;
     requestChecks =
         List.of(new ResponseIntegrityCheck(violations), new LostRequestCheck(records, violations));
+    drainGrace = new DrainGraceCheck(records, violations);
     attemptChecks =
         List.of(
             new CancelledRequestCheck(violations),
             new DeadlinePropagationCheck(records, violations),
-            new DrainGraceCheck(records, violations));
+            drainGrace);
     duplicateExecutions = new DuplicateExecutionCheck(violations);
     warmUpLoad = new WarmUpLoadCheck(records, violations);
   }
@@ -47,6 +49,7 @@
       requestChecks.forEach(each -> each.check(request));
     }
     checkAttempts(requests);
+    records.loads().forEach(drainGrace::check);
     records.workers().forEach(warmUpLoad::check);
     records.processFaults().forEach(each -> violations.record(Invariant.PROCESS_HEALTH, each));
     return violations.violations();
--- a/src/main/java/switchgap/testbed/soak/SoakFaultType.java
+++ b/src/main/java/switchgap/testbed/soak/SoakFaultType.java
@@ -60,5 +60,21 @@
   /** Some writes of one router transfer one byte. */
   WRITE_SHORT,
   /** The wall clock of one router steps by a second or an hour, forward or back. */
-  WALL_CLOCK_STEP
+  WALL_CLOCK_STEP,
+
+  // Drawn apart from the others, so that what a seed drew of those stays as it was.
+
+  /** SIGTERM and further signals; clients send on open connections until the earliest SIGKILL. */
+  ROUTER_TERM_UNDER_LOAD,
+  /** The event stream is out of reach for seconds, while workers drain, restart and move. */
+  FEED_OUTAGE,
+  /** The event stream is out of reach for seconds. */
+  FEED_UNREACHABLE,
+  /** A worker drains, ends, and starts again, cold, under its name. */
+  WORKER_RESTARTED;
+
+  /** Whether it is drawn apart from those of the first version. */
+  boolean isDrawnApart() {
+    return compareTo(WALL_CLOCK_STEP) > 0;
+  }
 }
--- a/src/main/java/switchgap/testbed/soak/SoakRecords.java
+++ b/src/main/java/switchgap/testbed/soak/SoakRecords.java
@@ -13,6 +13,7 @@
 /** What the emulators saw in one run. Thread-safe; the views that it returns are live. */
 final class SoakRecords {
   private final Queue<ObservedRequest> requests = new ConcurrentLinkedQueue<>();
+  private final Queue<ReceivedLoad> loads = new ConcurrentLinkedQueue<>();
   private final Queue<ReceivedAttempt> attempts = new ConcurrentLinkedQueue<>();
   private final Map<OutageCause, List<Outage>> outages = new EnumMap<>(OutageCause.class);
   private final Map<String, WorkerTimeline> workers = new ConcurrentHashMap<>();
@@ -34,6 +35,16 @@
     attempts.add(attempt);
   }
 
+  /** A worker received a load command. */
+  void addLoad(ReceivedLoad load) {
+    loads.add(load);
+  }
+
+  /** Load commands in the order in which they were received. */
+  Collection<ReceivedLoad> loads() {
+    return Collections.unmodifiableCollection(loads);
+  }
+
   /** An outage begins; the caller states its end. */
   Outage beginOutage(OutageCause cause, int router, long nowNanos) {
     Outage outage = new Outage(router, nowNanos);
--- a/src/main/java/switchgap/testbed/soak/WorkerEmulator.java
+++ b/src/main/java/switchgap/testbed/soak/WorkerEmulator.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -36,6 +37,9 @@
     REJECTS
   }
 
+  /** In place of a port: any free one. */
+  static final int ANY_PORT = 0;
+
   private static final Pattern TIMEOUT = Pattern.compile("max=(\\d+)");
   private static final int WORK_MILLIS = 20;
   private static final int COMMAND_MILLIS = 1;
@@ -48,7 +52,10 @@
   private static final byte[] MALFORMED_REPLY =
       "*4\r\n$-7\r\nnoise\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
+  private static final String QUERY = "count=0";
+
   private final String name;
+  private final String recordName;
   private final SoakRecords records;
   private final ScheduledExecutorService timers;
   private final ServerSocket listener;
@@ -56,14 +63,34 @@
   private final AtomicInteger replies = new AtomicInteger();
   private volatile Misbehaviour misbehaviour = Misbehaviour.NONE;
   private volatile int acceptDelayMillis;
+  private volatile boolean draining;
 
-  /** Starts a worker at a free port of the loopback address. */
+  /** Starts a worker, which has a name of its own, at a free port of the loopback address. */
   WorkerEmulator(String name, SoakRecords records, ScheduledExecutorService timers)
       throws IOException {
+    this(name, name, ANY_PORT, records, timers);
+  }
+
+  /**
+   * Starts a worker at a port of the loopback address.
+   *
+   * @param name its name in the endpoint list
+   * @param recordName its name in the records, by which processes of the same name differ
+   */
+  WorkerEmulator(
+      String name,
+      String recordName,
+      int port,
+      SoakRecords records,
+      ScheduledExecutorService timers)
+      throws IOException {
     this.name = name;
+    this.recordName = recordName;
     this.records = records;
     this.timers = timers;
-    this.listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    this.listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
     DaemonThreads.start("worker-" + name, this::acceptAll);
   }
 
@@ -71,6 +98,23 @@
     return name;
   }
 
+  /** Its name in the records. */
+  String recordName() {
+    return recordName;
+  }
+
+  int port() {
+    return listener.getLocalPort();
+  }
+
+  /**
+   * Begins to drain: probes fail, requests and loads are rejected, and what it has goes on, as the
+   * platform's workers do it.
+   */
+  void drain() {
+    draining = true;
+  }
+
   String address() {
     return "127.0.0.1:" + listener.getLocalPort();
   }
@@ -129,19 +173,29 @@
   private void handle(Socket socket, String[] words) throws IOException {
     switch (words[0]) {
       case "DO" -> execute(socket, words);
-      case "PIN" -> replyAfter(socket, COMMAND_MILLIS, words[1], "data", "count=1", "");
-      case "ECHO", "METER" -> replyAfter(socket, COMMAND_MILLIS, words[1], "well", LOAD_REPORT, "");
+      case "PIN" -> load(socket, words);
+      case "ECHO", "METER" ->
+          replyAfter(socket, COMMAND_MILLIS, words[1], draining ? "ill" : "well", LOAD_REPORT, "");
       default -> {} // UNDO and UNPIN have no reply
     }
   }
 
+  private void load(Socket socket, String[] words) {
+    if (words[2].endsWith(QUERY)) {
+      replyAfter(socket, COMMAND_MILLIS, words[1], "data", "count=1", "");
+      return;
+    }
+    records.addLoad(new ReceivedLoad(recordName, System.nanoTime()));
+    replyAfter(socket, COMMAND_MILLIS, words[1], draining ? "full" : "data", "count=1", "");
+  }
+
   private void execute(Socket socket, String[] words) throws IOException {
     Matcher timeout = TIMEOUT.matcher(words[2]);
     long timeoutMillis = timeout.find() ? Long.parseLong(timeout.group(1)) : Long.MAX_VALUE;
     Misbehaviour how = misbehaviour;
-    boolean rejects = how == Misbehaviour.REJECTS;
+    boolean rejects = how == Misbehaviour.REJECTS || draining;
     records.addAttempt(
-        new ReceivedAttempt(words[1], name, System.nanoTime(), timeoutMillis, !rejects));
+        new ReceivedAttempt(words[1], recordName, System.nanoTime(), timeoutMillis, !rejects));
     if (rejects) {
       replyAfter(socket, 0, words[1], "full", "-", "");
     } else if (how == Misbehaviour.RESETS_CONNECTIONS && nextReplyIsAffected()) {
--- a/src/main/java/switchgap/testbed/soak/WorkerMisbehaviourFaults.java
+++ b/src/main/java/switchgap/testbed/soak/WorkerMisbehaviourFaults.java
@@ -32,6 +32,10 @@
                 type, (fault, random) -> misbehave(draw(random), how, fault.durationMillis())));
     injectors.put(
         SoakFaultType.WORKER_REPLACED, (fault, random) -> replace(random, fault.durationMillis()));
+    WorkerRestarts restarts = new WorkerRestarts(fleet);
+    injectors.put(
+        SoakFaultType.WORKER_RESTARTED,
+        (fault, random) -> restarts.restart(random, random.nextBoolean()));
     injectors.put(SoakFaultType.WORKER_CLOSES, (fault, random) -> draw(random).closeConnections());
     injectors.put(
         SoakFaultType.WORKER_ACCEPTS_LATE,
--- a/src/test/java/switchgap/policy/PolicyHarness.java
+++ b/src/test/java/switchgap/policy/PolicyHarness.java
@@ -183,6 +183,11 @@
         "send request " + request + " to worker " + worker + " for " + timeout.toMillis() + " ms");
   }
 
+  @Override
+  public void limitSends(int worker, Duration until) {
+    record("limit worker " + worker + " to " + (until == null ? "-" : until.toMillis() + " ms"));
+  }
+
   @Override
   public void cancelAttempt(int request, int attempt) {
     record("cancel request " + request + " attempt " + attempt);
--- /dev/null
+++ b/src/test/java/switchgap/policy/WorkerLeasesTest.java
@@ -0,0 +1,272 @@
+package switchgap.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static switchgap.policy.AttemptEnd.notLoaded;
+import static switchgap.policy.AttemptEnd.rejected;
+import static switchgap.policy.AttemptEnd.succeeded;
+import static switchgap.policy.PolicyHarness.millis;
+import static switchgap.policy.TestEvents.change;
+import static switchgap.policy.TestEvents.list;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import switchgap.policy.api.AttemptOutcome;
+import switchgap.policy.api.LoadReport;
+import switchgap.policy.api.PolicyEvents;
+import switchgap.policy.api.ProbeResult;
+import switchgap.policy.api.WorkerState;
+
+/** What workers are sent while the endpoint list is unconfirmed. */
+class WorkerLeasesTest {
+  private static final int WORKERS = 4;
+  private static final int CONFIRMED_UNTIL_MILLIS = 1000;
+
+  private final TestSettings settings = new TestSettings();
+  private PolicyHarness harness;
+  private int primary;
+
+  /** Function 0 has a replica at the primary worker; the list is confirmed for a second. */
+  private void serveOnceWhileConfirmed() {
+    harness = new PolicyHarness(settings);
+    harness
+        .at(
+            0,
+            events -> {
+              list(events, WORKERS);
+              events.endpointListConfirmedUntil(millis(CONFIRMED_UNTIL_MILLIS));
+            })
+        .at(10, events -> harness.requestArrives(events, 0, 0));
+    primary = harness.firstWorker();
+    harness.at(60, events -> harness.attemptEnds(events, succeeded(0, primary).after(50)));
+  }
+
+  private static void probeEnds(PolicyEvents events, int worker, AttemptOutcome outcome) {
+    events.probeEnded(new ProbeResult(worker, outcome, LoadReport.NONE));
+  }
+
+  private int probesOf(int worker) {
+    return (int) harness.count("probe worker " + worker);
+  }
+
+  @Test
+  void needsNoProbeWhileListIsConfirmed() {
+    serveOnceWhileConfirmed();
+    harness.at(900, events -> harness.requestArrives(events, 1, 0));
+
+    assertThat(harness.sentTo(1)).isEqualTo(primary);
+    assertThat(harness.count("probe")).isZero();
+  }
+
+  @Test
+  void probesWorkerBeforeAttemptOnceListIsUnconfirmed() {
+    serveOnceWhileConfirmed();
+    harness.at(1200, events -> harness.requestArrives(events, 1, 0));
+    assertThat(harness.sentTo(1)).as("sent before the reply").isEqualTo(-1);
+    assertThat(probesOf(primary)).isEqualTo(1);
+
+    harness.at(1203, events -> probeEnds(events, primary, AttemptOutcome.SUCCEEDED));
+
+    assertThat(harness.sentTo(1)).isEqualTo(primary);
+    assertThat(harness.trace()).contains("1203 limit worker " + primary + " to 1700 ms");
+  }
+
+  /** The lease lasts for the drain grace from the send of what the worker replied to. */
+  @Test
+  void successRenewsLeaseForDrainGrace() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .at(1203, events -> probeEnds(events, primary, AttemptOutcome.SUCCEEDED))
+        .at(1253, events -> harness.attemptEnds(events, succeeded(1, primary).after(50)))
+        .at(1690, events -> harness.requestArrives(events, 2, 0));
+    assertThat(harness.sentTo(2)).as("within the grace").isEqualTo(primary);
+
+    harness.at(1704, events -> harness.requestArrives(events, 3, 0));
+
+    assertThat(harness.sentTo(3)).as("past the grace").isEqualTo(-1);
+    assertThat(probesOf(primary)).isEqualTo(2);
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"FAILED", "CONNECT_FAILED", "CONNECTION_LOST", "TIMED_OUT"})
+  void passesOverWorkerWhoseProbeDoesNotSucceed(AttemptOutcome outcome) {
+    serveOnceWhileConfirmed();
+    harness
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .at(1203, events -> probeEnds(events, primary, outcome));
+
+    assertThat(harness.attemptsOf(1)).isZero();
+    for (int worker = 0; worker < WORKERS; worker++) {
+      assertThat(probesOf(worker)).as("worker %d", worker).isLessThanOrEqualTo(1);
+    }
+    assertThat(harness.count("probe")).as("another worker is probed").isEqualTo(2);
+  }
+
+  /** A hung worker does not hold the request for the whole timeout of its probe. */
+  @Test
+  void passesOverWorkerThatDoesNotReplySoon() {
+    serveOnceWhileConfirmed();
+    harness.at(1200, events -> harness.requestArrives(events, 1, 0)).until(1260);
+
+    assertThat(harness.count("probe")).isGreaterThan(1);
+  }
+
+  @Test
+  void drainingWorkerIsProbedOnceASecondAndUsedAgainAsRestarted() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .at(1203, events -> probeEnds(events, primary, AttemptOutcome.FAILED))
+        .at(1900, events -> harness.requestArrives(events, 2, 0));
+    assertThat(probesOf(primary)).isEqualTo(1);
+    harness.at(2300, events -> harness.requestArrives(events, 3, 0));
+    assertThat(probesOf(primary)).isEqualTo(2);
+
+    harness
+        .at(2303, events -> probeEnds(events, primary, AttemptOutcome.SUCCEEDED))
+        .at(2310, events -> harness.requestArrives(events, 4, 0));
+
+    assertThat(harness.sentTo(4)).as("the new process has no replica").isNotEqualTo(primary);
+  }
+
+  @Test
+  void rejectionEndsLease() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .at(1203, events -> probeEnds(events, primary, AttemptOutcome.SUCCEEDED))
+        .at(1204, events -> harness.attemptEnds(events, rejected(1, primary).after(1)))
+        .at(1210, events -> harness.requestArrives(events, 2, 0));
+
+    assertThat(harness.sentTo(2)).isEqualTo(-1);
+    assertThat(probesOf(primary)).isEqualTo(2);
+  }
+
+  /** What was sent before a worker replied that it drains proves nothing after it. */
+  @Test
+  void lateSuccessOfEarlierAttemptGrantsNoLease() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .at(1203, events -> probeEnds(events, primary, AttemptOutcome.SUCCEEDED))
+        .at(1710, events -> harness.requestArrives(events, 2, 0))
+        .at(1713, events -> probeEnds(events, primary, AttemptOutcome.FAILED))
+        .at(1720, events -> harness.attemptEnds(events, succeeded(1, primary).after(517)))
+        .at(1730, events -> harness.requestArrives(events, 3, 0));
+
+    assertThat(harness.sentTo(3)).isEqualTo(-1);
+  }
+
+  @Test
+  void loadCommandNeedsLease() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .at(1203, events -> probeEnds(events, primary, AttemptOutcome.SUCCEEDED))
+        .at(1204, events -> harness.requestArrives(events, 2, 0))
+        .at(1206, events -> harness.attemptEnds(events, rejected(2, primary).after(2)))
+        .at(1208, events -> harness.attemptEnds(events, notLoaded(1, primary).after(5)));
+    assertThat(harness.count("load")).as("the rejection has ended the lease").isZero();
+    assertThat(probesOf(primary)).isEqualTo(2);
+
+    harness.at(1210, events -> probeEnds(events, primary, AttemptOutcome.SUCCEEDED)).until(1250);
+
+    assertThat(harness.count("load function 0 at worker " + primary)).isEqualTo(1);
+  }
+
+  /** Its process may be a new one, cold and empty, whose start no list has told. */
+  @Test
+  void reconnectedWorkerWarmsUp() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(1100, events -> events.workerReconnected(primary))
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .until(1300);
+    assertThat(harness.sentTo(1)).as("it has no replica").isNotEqualTo(primary);
+  }
+
+  /** In time for the list to tell it: once the list is unconfirmed, nothing else will. */
+  @Test
+  void workerReconnectedShortlyBeforeListIsUnconfirmedWarmsUp() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(700, events -> events.workerReconnected(primary))
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .until(1300);
+    assertThat(harness.sentTo(1)).as("it has no replica").isNotEqualTo(primary);
+  }
+
+  @Test
+  void reconnectionMeansNothingWhileListIsConfirmed() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(100, events -> events.workerReconnected(primary))
+        .at(200, events -> harness.requestArrives(events, 1, 0));
+
+    assertThat(harness.sentTo(1)).isEqualTo(primary);
+  }
+
+  /** The list tells the start that was presumed: what was learned since then still holds. */
+  @Test
+  void listedStartOfRestartedWorkerKeepsItsReplicas() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(900, events -> harness.requestArrives(events, 5, 0))
+        .at(1100, events -> events.workerReconnected(primary))
+        .at(1102, events -> harness.attemptEnds(events, succeeded(5, primary).after(202)))
+        .at(
+            1200,
+            events -> {
+              Duration listedStart = millis(1050);
+              change(events, primary, WorkerState.READY, listedStart);
+              events.endpointListConfirmedUntil(millis(100_000));
+            })
+        .at(2500, events -> harness.requestArrives(events, 1, 0));
+
+    assertThat(harness.count("load")).as("it is known to have the replica").isZero();
+  }
+
+  @Test
+  void confirmedListNeedsNoLeaseAgain() {
+    serveOnceWhileConfirmed();
+    harness
+        .at(1200, events -> harness.requestArrives(events, 1, 0))
+        .at(1203, events -> probeEnds(events, primary, AttemptOutcome.FAILED))
+        .at(1300, events -> events.endpointListConfirmedUntil(millis(5000)))
+        .at(1310, events -> harness.requestArrives(events, 2, 0));
+
+    assertThat(harness.sentTo(2)).isEqualTo(primary);
+  }
+
+  /** Without probes nothing proves that a worker accepts, but a rejection that it does not. */
+  @Test
+  void servesWithoutProbesUntilWorkerRejects() {
+    TestSettings withoutProbes =
+        new TestSettings() {
+          @Override
+          public boolean probesAllowed() {
+            return false;
+          }
+        };
+    harness = new PolicyHarness(withoutProbes);
+    harness
+        .at(
+            0,
+            events -> {
+              list(events, WORKERS);
+              events.endpointListConfirmedUntil(Duration.ZERO);
+            })
+        .at(10, events -> harness.requestArrives(events, 0, 0));
+    primary = harness.sentTo(0);
+    assertThat(primary).isNotNegative();
+
+    harness
+        .at(11, events -> harness.attemptEnds(events, rejected(0, primary).after(1)))
+        .at(20, events -> harness.requestArrives(events, 1, 0));
+
+    assertThat(harness.sentTo(1)).isNotEqualTo(primary);
+    assertThat(harness.count("probe")).isZero();
+  }
+}
--- a/src/test/java/switchgap/testbed/soak/SoakTest.java
+++ b/src/test/java/switchgap/testbed/soak/SoakTest.java
@@ -30,7 +30,7 @@
     ByteArrayOutputStream printed = new ByteArrayOutputStream();
     boolean kept =
         Soak.run(
-            new Soak.Options(seed, routers, seconds, Set.of(), run, directory),
+            new Soak.Options(seed, routers, seconds, SoakProfile.MIXED, Set.of(), run, directory),
             new PrintStream(printed, true, StandardCharsets.UTF_8));
     assertThat(kept).as(printed.toString(StandardCharsets.UTF_8)).isTrue();
   }
