--- a/src/main/java/switchgap/policy/WorkerLeases.java
+++ b/src/main/java/switchgap/policy/WorkerLeases.java
@@ -124,6 +124,9 @@
   /** A probe of the worker ended. */
   void probeEnded(Worker worker, AttemptOutcome outcome) {
     WorkerLease lease = worker.lease;
+    if (lease.probedAt() == null) {
+      return; // the probe was of another process under the same index
+    }
     switch (outcome) {
       case SUCCEEDED -> {
         boolean hasDrained = lease.drains();
