The gateway's stop waits for the responses that its writers still have

Cause (read in SynchronousRequestHandler.responded and GatewayComponents.close): a request counts as ended before its response is written by another thread, and a stop closed the connections as soon as none was pending; seen before as a flaky InvokeApiTest stop (connection ended). The planner's stop was read as well: edges go on alone, it holds no client's request.

--- a/src/main/java/switchgap/config/RulesSection.java
+++ b/src/main/java/switchgap/config/RulesSection.java
@@ -2,16 +2,8 @@
 
 import java.time.Duration;
 
-/**
- * The section {@code rules}.
- *
- * @param drainGrace time in which sends to a worker that drains must cease; it matters only while
- *     the endpoint list is unconfirmed, as a router otherwise stops at once
- * @param slowStart the slow start of workers
- * @param loadQuota the quota of load commands
- */
-record RulesSection(Duration drainGrace, SlowStart slowStart, LoadQuota loadQuota) {
-  private static final Duration DEFAULT_DRAIN_GRACE = Duration.ofMillis(500);
+/** The section {@code rules}: the slow start of workers, and the quota of load commands. */
+record RulesSection(SlowStart slowStart, LoadQuota loadQuota) {
   private static final double MAX_MULTIPLE = 1e6;
   private static final double MAX_LOADS = 1e6;
 
@@ -64,10 +56,9 @@
   }
 
   static RulesSection read(YamlDocument section) {
-    Duration drainGrace = section.duration("drain_grace", DEFAULT_DRAIN_GRACE);
     SlowStart slowStart = SlowStart.read(section);
     LoadQuota loadQuota = LoadQuota.read(section);
     section.rejectUnknownKeys();
-    return new RulesSection(drainGrace, slowStart, loadQuota);
+    return new RulesSection(slowStart, loadQuota);
   }
 }
--- a/src/main/java/switchgap/config/YamlWorkerSettings.java
+++ b/src/main/java/switchgap/config/YamlWorkerSettings.java
@@ -25,9 +25,10 @@
     return workerKinds.index(name);
   }
 
+  /** None is stated: the gateway's endpoint list service never leaves its list unconfirmed. */
   @Override
   public Duration drainGrace() {
-    return rules.drainGrace();
+    return Duration.ZERO;
   }
 
   @Override
--- a/src/main/java/switchgap/net/KeyedWriters.java
+++ b/src/main/java/switchgap/net/KeyedWriters.java
@@ -1,6 +1,9 @@
 package switchgap.net;
 
+import java.time.Duration;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +33,19 @@
     writers[Math.floorMod(key, writers.length)].add(task);
   }
 
+  /**
+   * Waits until all tasks that were added before have run, for a bounded time.
+   *
+   * @return whether they have
+   */
+  public boolean awaitPending(Duration timeout) throws InterruptedException {
+    CountDownLatch reached = new CountDownLatch(writers.length);
+    for (Writer writer : writers) {
+      writer.add(reached::countDown);
+    }
+    return reached.await(timeout.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
   /** Requests the threads to end; pending tasks may not run. */
   @Override
   public void close() {
--- a/src/main/java/switchgap/server/gateway/GatewayComponents.java
+++ b/src/main/java/switchgap/server/gateway/GatewayComponents.java
@@ -1,6 +1,7 @@
 package switchgap.server.gateway;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -24,6 +25,9 @@
  * or before them. {@link GatewayRouter} decides when.
  */
 final class GatewayComponents implements AutoCloseable {
+  /** For the writes of a shutdown. */
+  private static final Duration MAX_WRITE_WAIT = Duration.ofSeconds(1);
+
   private static final Logger LOG = LoggerFactory.getLogger(GatewayRouter.class);
   private static final int EXIT_CODE_TICK_FAILED = 70;
   private static final long SWEEP_INTERVAL_SECONDS = 1;
@@ -134,6 +138,13 @@
     server.stopListening();
   }
 
+  /** Waits until the responses decided on so far are written, for a bounded time. */
+  void awaitWrites() throws InterruptedException {
+    if (!writers.awaitPending(MAX_WRITE_WAIT)) {
+      LOG.warn("responses were not written within {}", MAX_WRITE_WAIT);
+    }
+  }
+
   /** The port at which the planner is expected, 0 where none is. */
   int plannerPort() {
     return planner == null ? 0 : planner.port();
--- a/src/main/java/switchgap/server/gateway/GatewayRouter.java
+++ b/src/main/java/switchgap/server/gateway/GatewayRouter.java
@@ -125,13 +125,13 @@
 
   private void awaitPendingRequests() {
     long deadlineNanos = System.nanoTime() + settings.longestTimeout().toNanos();
-    while (pendingRequests() > 0 && System.nanoTime() - deadlineNanos < 0) {
-      try {
+    try {
+      while (pendingRequests() > 0 && System.nanoTime() - deadlineNanos < 0) {
         Thread.sleep(STOP_POLL_MILLIS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        return;
       }
+      components.awaitWrites(); // a request has ended before its response is written
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
