--- a/src/main/java/switchgap/policy/RoutingPolicy.java
+++ b/src/main/java/switchgap/policy/RoutingPolicy.java
@@ -81,7 +81,6 @@
   /** Applies the events since the last tick and decides; the other methods are for the batch. */
   public void tick(Duration now, EventBatch events, PolicyActions actions) {
     state.beginTick(now, actions);
-    leases.beginTick();
     events.deliverTo(this);
     if (pollInterval != null && state.hasPassed(nextPoll)) {
       actions.subscribeToEndpoints();
@@ -100,6 +99,7 @@
     slowStart.everySecond();
     estimator.everySecond();
     outliers.everySecond();
+    leases.everySecond();
     scaler.everySecond();
   }
 
--- a/src/main/java/switchgap/policy/WorkerLeases.java
+++ b/src/main/java/switchgap/policy/WorkerLeases.java
@@ -23,13 +23,15 @@
 final class WorkerLeases {
   private static final Duration RETRY_INTERVAL = SECOND; // of probes of a worker without a lease
 
+  /** A shorter one ends before anything that it hides counts as notified. */
+  private static final Duration MIN_OUTAGE = SECOND;
+
   /** The platform's longest delay between a worker's start and its notification. */
   private static final Duration MAX_LISTING_DELAY = SECOND.multipliedBy(4);
 
   private final PolicyState state;
   private final Duration maxWait; // for a probe's reply, before another worker is taken
   private final Duration validity; // of a lease; the grace, or time to send where there is none
-  private boolean wasUnconfirmed;
 
   WorkerLeases(PolicyState state, Duration maxWait) {
     this.state = state;
@@ -37,24 +39,39 @@
     this.validity = Durations.max(state.settings.drainGrace, maxWait);
   }
 
-  /** Once the list is unconfirmed, restarts that it has not told yet count as well. */
-  void beginTick() {
-    boolean unconfirmed = state.isListUnconfirmed();
-    if (unconfirmed && !wasUnconfirmed) {
+  /**
+   * Once the list has been unconfirmed for a while, restarts that it has not told count as well;
+   * once it is confirmed again, those that it does not tell in time have not happened.
+   */
+  void everySecond() {
+    if (isLongUnconfirmed()) {
       state.workers.forEach(this::presumeRestartUnlessListed);
+    } else if (!state.isListUnconfirmed()) {
+      state.workers.forEach(this::dropUnlistedRestart);
+    }
+  }
+
+  private boolean isLongUnconfirmed() {
+    return state.isListUnconfirmed()
+        && state.hasPassed(state.listUnconfirmedSince().plus(MIN_OUTAGE));
+  }
+
+  private void dropUnlistedRestart(Worker worker) {
+    Duration presumed = worker.presumedStart();
+    if (presumed != null && !state.isWithin(MAX_LISTING_DELAY, presumed)) {
+      worker.startNotListed();
     }
-    wasUnconfirmed = unconfirmed;
   }
 
   private void presumeRestartUnlessListed(Worker worker) {
     Duration reconnectedAt = worker.lease.reconnectedAt();
-    if (reconnectedAt == null || !state.isWithin(MAX_LISTING_DELAY, reconnectedAt)) {
+    Duration earliest = state.listUnconfirmedSince().minus(MAX_LISTING_DELAY);
+    if (reconnectedAt == null || reconnectedAt.compareTo(earliest) < 0) {
       return;
     }
-    Duration listed = worker.startedAt();
-    boolean isListed =
-        listed != null && listed.compareTo(reconnectedAt.minus(MAX_LISTING_DELAY)) > 0;
-    if (!isListed) {
+    Duration known = worker.startedAt();
+    boolean isKnown = known != null && known.compareTo(reconnectedAt.minus(MAX_LISTING_DELAY)) > 0;
+    if (!isKnown) {
       state.presumeRestarted(worker, reconnectedAt);
     }
   }
@@ -144,7 +161,7 @@
   /** The worker ended its connections and accepts new ones. */
   void workerReconnected(Worker worker) {
     worker.lease.reconnected(state.now());
-    if (state.isListUnconfirmed()) {
+    if (isLongUnconfirmed()) {
       state.presumeRestarted(worker, state.now());
     }
   }
--- a/src/main/java/switchgap/policy/state/PolicyState.java
+++ b/src/main/java/switchgap/policy/state/PolicyState.java
@@ -45,6 +45,9 @@
   /** Until when the endpoint list is confirmed; null for ever. */
   private Duration listConfirmedUntil;
 
+  /** Since when the endpoint list is unconfirmed, or will be unless it is confirmed again. */
+  private Duration listUnconfirmedSince;
+
   /** Empty tables; the random draws come from the seed alone. */
   public PolicyState(
       SettingsSnapshot settings,
@@ -116,7 +119,16 @@
 
   /** Sets until when the endpoint list is confirmed. */
   public void endpointListConfirmedUntil(Duration time) {
+    boolean wasConfirmed = !isListUnconfirmed();
     listConfirmedUntil = time;
+    if (wasConfirmed || !isListUnconfirmed()) {
+      listUnconfirmedSince = Durations.max(now, time);
+    }
+  }
+
+  /** Since when the endpoint list is unconfirmed; meaningless while it is confirmed. */
+  public Duration listUnconfirmedSince() {
+    return listUnconfirmedSince;
   }
 
   /** Whether changes of the endpoint list may count as notified that have not been received. */
--- a/src/main/java/switchgap/policy/state/Worker.java
+++ b/src/main/java/switchgap/policy/state/Worker.java
@@ -42,6 +42,7 @@
   private final List<Request> awaitingProbe = new ArrayList<>();
   private boolean probeInFlight;
   private Duration sendLimit;
+  private Duration listedStart;
   private Duration presumedStart;
   private WorkerState state = WorkerState.GONE;
   private boolean listed;
@@ -62,6 +63,7 @@
     this.id = entry.worker();
     this.hash = entry.hash();
     this.startedAt = entry.startedAt();
+    this.listedStart = entry.startedAt();
     this.latencyRatios = new Histogram(edges.latencyRatios());
     this.errors = new Histogram(edges.errors());
     this.relativeDurations = new Histogram(edges.relativeDurations());
@@ -97,6 +99,7 @@
     memoryMb = memory;
     hashWeight = weight;
     startedAt = entry.startedAt();
+    listedStart = entry.startedAt();
   }
 
   /** A complete endpoint list does not name it. */
@@ -121,11 +124,21 @@
     presumedStart = processStart;
   }
 
+  /** When its process seems to have started, unless the endpoint list has told a start; or null. */
+  public Duration presumedStart() {
+    return presumedStart != null && presumedStart.equals(startedAt) ? presumedStart : null;
+  }
+
+  /** The endpoint list would have told the presumed start by now: the process is the old one. */
+  public void startNotListed() {
+    startedAt = listedStart;
+    presumedStart = null;
+  }
+
   /** Whether a listed start is that of the process whose start was presumed. */
-  boolean isPresumedStart(Duration listedStart) {
-    return presumedStart != null
-        && presumedStart.equals(startedAt)
-        && listedStart.compareTo(presumedStart) <= 0;
+  boolean isPresumedStart(Duration listed) {
+    Duration presumed = presumedStart();
+    return presumed != null && listed.compareTo(presumed) <= 0;
   }
 
   /** The time until which it may be sent attempts and load commands, null for no limit. */
