The soak's judge measures the warm rate once; both plans of faults share one draw

Cause: with 30 routers and 60,000 requests the judge scanned all attempts for each attempt at a cold worker and ran for minutes. Change: measured once a run; FaultPlan.Draw.

--- a/src/main/java/switchgap/testbed/soak/FaultPlan.java
+++ b/src/main/java/switchgap/testbed/soak/FaultPlan.java
@@ -84,21 +84,12 @@
    * @return the faults to play, by their start
    */
   static List<PlannedFault> drawApart(long seed, int seconds, Set<SoakFaultType> leftOut) {
-    Random random = new Random(~seed);
-    int span = seconds * 1000 - QUIET_END_MILLIS;
-    List<PlannedFault> faults = new ArrayList<>();
-    for (int i = 0; i < Math.max(2, span / MILLIS_PER_FAULT_APART); i++) {
-      SoakFaultType type = TYPES_APART.get(random.nextInt(TYPES_APART.size()));
-      int range = MAX_DURATION_APART_MILLIS - MIN_DURATION_APART_MILLIS;
-      int duration = Math.min(span, MIN_DURATION_APART_MILLIS + random.nextInt(range));
-      int start = random.nextInt(Math.max(1, span - duration));
-      PlannedFault fault = new PlannedFault(type, start, duration, random.nextLong());
-      if (!leftOut.contains(type)) {
-        faults.add(fault);
-      }
-    }
-    faults.sort(Comparator.comparingInt(PlannedFault::startMillis));
-    return faults;
+    int span = spanMillis(seconds);
+    int maxDuration =
+        Math.min(MAX_DURATION_APART_MILLIS, Math.max(span, MIN_DURATION_APART_MILLIS + 1));
+    int count = Math.max(2, span / MILLIS_PER_FAULT_APART);
+    Draw draw = new Draw(TYPES_APART, count, MIN_DURATION_APART_MILLIS, maxDuration);
+    return sorted(draw.faults(new Random(~seed), span), leftOut);
   }
 
   /**
@@ -111,21 +102,29 @@
    * @return the faults to play, by their start
    */
   static List<PlannedFault> draw(long seed, int seconds, Set<SoakFaultType> leftOut) {
-    Random random = new Random(seed);
-    int span = seconds * 1000 - QUIET_END_MILLIS;
+    int span = spanMillis(seconds);
     int count = Math.max(2, MEAN_OVERLAP * span * 2 / (MIN_DURATION_MILLIS + MAX_DURATION_MILLIS));
-    List<PlannedFault> faults = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      SoakFaultType type = FIRST_TYPES.get(random.nextInt(FIRST_TYPES.size()));
-      int duration =
-          MIN_DURATION_MILLIS + random.nextInt(MAX_DURATION_MILLIS - MIN_DURATION_MILLIS);
-      int start = random.nextInt(Math.max(1, span - duration));
-      PlannedFault fault = new PlannedFault(type, start, duration, random.nextLong());
-      if (!leftOut.contains(type)) {
-        faults.add(fault);
+    Draw draw = new Draw(FIRST_TYPES, count, MIN_DURATION_MILLIS, MAX_DURATION_MILLIS);
+    return sorted(draw.faults(new Random(seed), span), leftOut);
+  }
+
+  private static int spanMillis(int seconds) {
+    return seconds * 1000 - QUIET_END_MILLIS;
+  }
+
+  /** What is drawn: the number of faults, of which types and of which durations. */
+  private record Draw(
+      List<SoakFaultType> types, int count, int minDurationMillis, int maxDurationMillis) {
+    /** The order of the draws stays, or a seed would draw other faults than in an old report. */
+    List<PlannedFault> faults(Random random, int spanMillis) {
+      List<PlannedFault> faults = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        SoakFaultType type = types.get(random.nextInt(types.size()));
+        int duration = minDurationMillis + random.nextInt(maxDurationMillis - minDurationMillis);
+        int start = random.nextInt(Math.max(1, spanMillis - duration));
+        faults.add(new PlannedFault(type, start, duration, random.nextLong()));
       }
+      return faults;
     }
-    faults.sort(Comparator.comparingInt(PlannedFault::startMillis));
-    return faults;
   }
 }
--- a/src/main/java/switchgap/testbed/soak/WarmUpLoadCheck.java
+++ b/src/main/java/switchgap/testbed/soak/WarmUpLoadCheck.java
@@ -29,6 +29,9 @@
   private final SoakRecords records;
   private final ViolationRecorder violations;
 
+  /** Measured once, as a run has many attempts; not a number before. */
+  private double warmRate = Double.NaN;
+
   WarmUpLoadCheck(SoakRecords records, ViolationRecorder violations) {
     this.records = records;
     this.violations = violations;
@@ -39,6 +42,9 @@
     if (!worker.startedDuringRun()) {
       return;
     }
+    if (Double.isNaN(warmRate)) {
+      warmRate = measureWarmRate();
+    }
     // a sample that is as old as the window's length is outside
     WindowedSum window = new WindowedSum(WINDOW_NANOS - 1);
     double maxBudgetShare = 0;
@@ -69,14 +75,14 @@
   private double budget(long ageNanos) {
     double warmth = Math.min(1, (double) ageNanos / WARM_UP_NANOS);
     double capacityShare = INITIAL_CAPACITY_SHARE + (1 - INITIAL_CAPACITY_SHARE) * warmth;
-    double requests = OVERLOAD_MULTIPLE * capacityShare * Math.max(SERIAL_RATE, warmRate());
+    double requests = OVERLOAD_MULTIPLE * capacityShare * Math.max(SERIAL_RATE, warmRate);
     double deviation = Math.sqrt(requests);
     double allowance = requests < FEW_REQUESTS ? 3 * deviation + 3 : 2 * deviation + 2;
     return requests + allowance;
   }
 
   /** Requests a second that a warm worker received, in the mean. */
-  private double warmRate() {
+  private double measureWarmRate() {
     long[] times =
         records.attempts().stream()
             .filter(attempt -> !records.worker(attempt.worker()).startedDuringRun())
