--- a/src/main/java/switchgap/testbed/soak/Soak.java
+++ b/src/main/java/switchgap/testbed/soak/Soak.java
@@ -45,6 +45,10 @@
   private static final int CLIENTS_PER_ROUTER = 3;
   private static final int CROWD_PER_ROUTER = 10;
   private static final int SEEDS_PER_CROWD = 4;
+
+  /** Of a crowd: with more, emulated workers read so late that deadlines cannot be judged. */
+  private static final int MAX_CLIENTS = 100;
+
   private static final int[] TIMEOUTS_MILLIS = {3000, 1000, 500};
   private static final int TIMER_THREADS = 4;
   private static final int SETTLE_MILLIS = 2500;
@@ -136,7 +140,8 @@
   /** One seed in four has a crowd of clients. */
   private int clientsPerRouter() {
     boolean isCrowd = Math.floorMod(options.seed, SEEDS_PER_CROWD) == 0;
-    return isCrowd ? CROWD_PER_ROUTER : CLIENTS_PER_ROUTER;
+    int perRouter = Math.min(CROWD_PER_ROUTER, MAX_CLIENTS / options.routers);
+    return isCrowd ? Math.max(CLIENTS_PER_ROUTER, perRouter) : CLIENTS_PER_ROUTER;
   }
 
   private void startRouters(EmulatedFleet fleet, EventStreamEmulator eventStream)
