Heartbeats alone confirm the endpoint list, as an event may be the first of several missed

Change: only a heartbeat behind all events confirms (ServerSentEventDecoder.commentCount); an event alone confirms nothing.

--- a/src/main/java/switchgap/endpoints/EventStreamClient.java
+++ b/src/main/java/switchgap/endpoints/EventStreamClient.java
@@ -21,10 +21,10 @@
  * on a further connection, since a half-open connection looks like a fleet without changes. The
  * connection that delivered last stays in use until its successor delivers.
  *
- * <p>The list counts as confirmed while the latest connection delivers, and heartbeats prove that
- * no event is missing. A request for the stream that is not answered, a break, an event that is
- * invalid or received in part, and silence leave it unconfirmed: the platform counts what the
- * stream would have told as notified then, at the earliest.
+ * <p>The list counts as confirmed while heartbeats come on the latest connection, and heartbeats
+ * prove that no event is missing. A request for the stream that is not answered, a break, an event
+ * that is invalid or received in part, and silence leave it unconfirmed: the platform counts what
+ * the stream would have told as notified then, at the earliest.
  *
  * <p>It differs from {@link EndpointListWatcher}: the feed has heartbeats and sequence numbers that
  * resume it, and the platform migrates routers from one feed to another, so two connections may be
@@ -233,10 +233,11 @@
   /**
    * Complete lines were received: an event, a part of one or a heartbeat.
    *
-   * @param betweenEvents whether no event is received in part, so that all events sent so far are
-   *     delivered
+   * @param heartbeat whether a heartbeat was among them, and no event is received in part: all
+   *     events sent before it are delivered. An event proves as much of none but itself, as others
+   *     that were missed may follow.
    */
-  synchronized void linesReceived(long attempt, long requestedAtNanos, boolean betweenEvents) {
+  synchronized void linesReceived(long attempt, long requestedAtNanos, boolean heartbeat) {
     if (!connections.isLatest(attempt)) {
       return;
     }
@@ -246,7 +247,7 @@
       backoff.reset(); // not for one that breaks at once, which would be reconnected at full speed
     }
     connections.activateLatest();
-    if (betweenEvents && !eventMissing) {
+    if (heartbeat && !eventMissing) {
       confirm();
     }
   }
--- a/src/main/java/switchgap/endpoints/EventStreamHandler.java
+++ b/src/main/java/switchgap/endpoints/EventStreamHandler.java
@@ -29,11 +29,13 @@
       return true;
     }
     long linesBefore = decoder.lineCount();
+    long commentsBefore = decoder.commentCount();
     boolean isWithinBounds =
         decoder.decode(bytes, (id, data) -> client.eventReceived(attempt, data));
     boolean hasCompleteLine = decoder.lineCount() > linesBefore;
     if (hasCompleteLine) { // bytes of a line that never ends count as silence
-      client.linesReceived(attempt, requestedAtNanos, !decoder.hasPartialEvent());
+      boolean hasHeartbeat = decoder.commentCount() > commentsBefore;
+      client.linesReceived(attempt, requestedAtNanos, hasHeartbeat && !decoder.hasPartialEvent());
     }
     if (!isWithinBounds) {
       String detail = "over " + MAX_EVENT_BYTES + " bytes";
--- a/src/main/java/switchgap/protocol/sse/ServerSentEventDecoder.java
+++ b/src/main/java/switchgap/protocol/sse/ServerSentEventDecoder.java
@@ -32,6 +32,7 @@
   private String id;
   private boolean afterCarriageReturn;
   private long lineCount;
+  private long commentCount;
 
   /**
    * Creates a decoder for one stream.
@@ -67,6 +68,11 @@
     return lineCount;
   }
 
+  /** The number of complete comments so far. */
+  public long commentCount() {
+    return commentCount;
+  }
+
   /** Whether fields of an event have been read whose blank line has not. */
   public boolean hasPartialEvent() {
     return data.length() > 0 || id != null;
@@ -102,6 +108,7 @@
 
   private void readField(String line) {
     int colon = line.indexOf(NAME_END);
+    commentCount += colon == 0 ? 1 : 0;
     String name = colon < 0 ? line : line.substring(0, colon);
     String value = "";
     if (colon >= 0) {
