--- a/src/main/java/switchgap/config/PropertyValues.java
+++ b/src/main/java/switchgap/config/PropertyValues.java
@@ -67,12 +67,17 @@
   }
 
   /** A duration that is written in microseconds. */
+  Duration duration(String path) {
+    return ofMicros(number(path));
+  }
+
+  /** A duration that is written in microseconds; zero where it is absent. */
   Duration optionalDuration(String path) {
-    return Duration.ofNanos(Math.round(optionalNumber(path) * NANOS_PER_MICRO));
+    return ofMicros(optionalNumber(path));
   }
 
-  Duration duration(String path) {
-    return Duration.ofNanos(Math.round(number(path) * NANOS_PER_MICRO));
+  private static Duration ofMicros(double micros) {
+    return Duration.ofNanos(Math.round(micros * NANOS_PER_MICRO));
   }
 
   boolean flag(String path) {
--- a/src/main/java/switchgap/endpoints/EventStreamClient.java
+++ b/src/main/java/switchgap/endpoints/EventStreamClient.java
@@ -72,7 +72,7 @@
   /** Whether an event was invalid or missing, so that heartbeats alone confirm nothing. */
   private boolean eventMissing;
 
-  /** The {@link System#nanoTime} since which the list is unconfirmed; meaningless while it is. */
+  /** The {@link System#nanoTime} since which the list is unconfirmed; unused while it is not. */
   private long unconfirmedSinceNanos = System.nanoTime();
 
   private boolean confirmed;
--- a/src/main/java/switchgap/policy/WorkerLeases.java
+++ b/src/main/java/switchgap/policy/WorkerLeases.java
@@ -57,9 +57,9 @@
   }
 
   private void dropUnlistedRestart(Worker worker) {
-    Duration presumed = worker.presumedStart();
+    Duration presumed = worker.start().presumed();
     if (presumed != null && !state.isWithin(MAX_LISTING_DELAY, presumed)) {
-      worker.startNotListed();
+      worker.start().notListed();
     }
   }
 
--- a/src/main/java/switchgap/policy/state/ActionDispatcher.java
+++ b/src/main/java/switchgap/policy/state/ActionDispatcher.java
@@ -67,8 +67,8 @@
   /** Has the worker's lease, if it needs one, hold for what is about to be sent to it. */
   private void limitSends(Worker worker) {
     Duration limit = state.sendLimit(worker);
-    if (!Objects.equals(limit, worker.sendLimit())) {
-      worker.sendsLimited(limit);
+    if (!Objects.equals(limit, worker.lease.sendLimit())) {
+      worker.lease.sendsLimited(limit);
       state.actions().limitSends(worker.id, limit);
     }
   }
--- a/src/main/java/switchgap/policy/state/PolicyState.java
+++ b/src/main/java/switchgap/policy/state/PolicyState.java
@@ -213,11 +213,9 @@
     if (worker == null) {
       worker = workers.set(entry.worker(), new Worker(entry, edges));
       worker.presumeEmpty(isWarmingUp(worker));
-    } else if (entry.startedAt() != null
-        && !entry.startedAt().equals(worker.startedAt())
-        && !worker.isPresumedStart(entry.startedAt())) {
-      worker.restarted(entry.startedAt());
-      forgetReplicas(worker);
+    } else if (entry.startedAt() != null && worker.start().isNews(entry.startedAt())) {
+      worker.start().listed(entry.startedAt());
+      workerRestarted(worker);
     }
     double[] memory = settings.workerKindMemory;
     double memoryMb = entry.kind() < memory.length ? memory[entry.kind()] : 0;
@@ -227,11 +225,12 @@
 
   /** A worker's process seems to have started anew, and no endpoint list can tell. */
   public void presumeRestarted(Worker worker, Duration processStart) {
-    worker.presumeRestarted(processStart);
-    forgetReplicas(worker);
+    worker.start().presume(processStart);
+    workerRestarted(worker);
   }
 
-  private void forgetReplicas(Worker worker) {
+  private void workerRestarted(Worker worker) {
+    worker.restarted();
     worker.presumeEmpty(isWarmingUp(worker));
     for (Function function : functions) {
       function.replicaAt(worker).workerRestarted();
--- a/src/main/java/switchgap/policy/state/Worker.java
+++ b/src/main/java/switchgap/policy/state/Worker.java
@@ -41,9 +41,7 @@
 
   private final List<Request> awaitingProbe = new ArrayList<>();
   private boolean probeInFlight;
-  private Duration sendLimit;
-  private Duration listedStart;
-  private Duration presumedStart;
+  private final ProcessStart start;
   private WorkerState state = WorkerState.GONE;
   private boolean listed;
   private boolean presumedEmpty;
@@ -51,7 +49,6 @@
   private int cell;
   private double memoryMb;
   private double hashWeight;
-  private Duration startedAt;
   private int inFlight;
   private int waitingForLoad;
   private int queuedAhead;
@@ -62,8 +59,7 @@
   Worker(EndpointEntry entry, HistogramEdges edges) {
     this.id = entry.worker();
     this.hash = entry.hash();
-    this.startedAt = entry.startedAt();
-    this.listedStart = entry.startedAt();
+    this.start = new ProcessStart(entry.startedAt());
     this.latencyRatios = new Histogram(edges.latencyRatios());
     this.errors = new Histogram(edges.errors());
     this.relativeDurations = new Histogram(edges.relativeDurations());
@@ -98,8 +94,7 @@
     cell = entry.cell();
     memoryMb = memory;
     hashWeight = weight;
-    startedAt = entry.startedAt();
-    listedStart = entry.startedAt();
+    start.listed(entry.startedAt());
   }
 
   /** A complete endpoint list does not name it. */
@@ -108,48 +103,12 @@
   }
 
   /** Its process started anew: the old one's errors, latencies and ejections do not count. */
-  void restarted(Duration processStart) {
-    startedAt = processStart;
+  public void restarted() {
     latencyRatios.clear();
     errors.clear();
     ejection.clear();
   }
 
-  /**
-   * Its process seems to have started anew at a time that no endpoint list has told. Like a listed
-   * start, but for what this router learns of it from then on, which holds when the list tells it.
-   */
-  void presumeRestarted(Duration processStart) {
-    restarted(processStart);
-    presumedStart = processStart;
-  }
-
-  /** When its process seems to have started, unless the endpoint list has told a start; or null. */
-  public Duration presumedStart() {
-    return presumedStart != null && presumedStart.equals(startedAt) ? presumedStart : null;
-  }
-
-  /** The endpoint list would have told the presumed start by now: the process is the old one. */
-  public void startNotListed() {
-    startedAt = listedStart;
-    presumedStart = null;
-  }
-
-  /** Whether a listed start is that of the process whose start was presumed. */
-  boolean isPresumedStart(Duration listed) {
-    Duration presumed = presumedStart();
-    return presumed != null && listed.compareTo(presumed) <= 0;
-  }
-
-  /** The time until which it may be sent attempts and load commands, null for no limit. */
-  Duration sendLimit() {
-    return sendLimit;
-  }
-
-  void sendsLimited(Duration until) {
-    sendLimit = until;
-  }
-
   /** Whether only this router can have loaded replicas there: its process has just started. */
   public boolean isPresumedEmpty() {
     return presumedEmpty;
@@ -182,9 +141,14 @@
     return hashWeight;
   }
 
+  /** The start of its process, as listed or as presumed. */
+  public ProcessStart start() {
+    return start;
+  }
+
   /** Start of its process, null if long past. */
   public Duration startedAt() {
-    return startedAt;
+    return start.at();
   }
 
   // This router's attempts, commands, queue and probes.
--- a/src/main/java/switchgap/policy/state/WorkerLease.java
+++ b/src/main/java/switchgap/policy/state/WorkerLease.java
@@ -15,6 +15,7 @@
   private Duration probedAt;
   private Duration reconnectedAt;
   private boolean drains;
+  private Duration sendLimit;
 
   /** When the lease ends; null where there is none. */
   public Duration expiresAt() {
@@ -41,6 +42,16 @@
     return drains;
   }
 
+  /** The end of the lease that was last passed on with something sent; null for no limit. */
+  Duration sendLimit() {
+    return sendLimit;
+  }
+
+  /** Something is sent that must be written by then; null for no limit. */
+  void sendsLimited(Duration until) {
+    sendLimit = until;
+  }
+
   /** A probe is sent. */
   void probed(Duration now) {
     probedAt = now;
--- a/src/main/java/switchgap/router/RouterEvent.java
+++ b/src/main/java/switchgap/router/RouterEvent.java
@@ -5,7 +5,14 @@
 import switchgap.policy.api.AttemptOutcome;
 
 /** Something that happened to a request, an attempt or a connection, for counters and the trace. */
-public sealed interface RouterEvent {
+public sealed interface RouterEvent
+    permits EndpointEvent,
+        RouterEvent.WithReason,
+        RouterEvent.RequestReceived,
+        RouterEvent.AttemptSent,
+        RouterEvent.AttemptEnded,
+        RouterEvent.ClientConnected,
+        RouterEvent.InvariantViolated {
   /** What happened. */
   enum Kind {
     /** A request was read. */
@@ -231,57 +238,6 @@
     }
   }
 
-  /** A load probe of a worker ended. */
-  record WorkerProbed(String subjectId, AttemptOutcome outcome) implements RouterEvent {
-    @Override
-    public Kind kind() {
-      return Kind.WORKER_PROBED;
-    }
-
-    @Override
-    public String reasonName() {
-      return outcome.name();
-    }
-  }
-
-  /** A worker that had ended its connections, or refused one, accepted one. */
-  record WorkerReconnected(String subjectId) implements RouterEvent {
-    private static final String ACCEPTED = "ACCEPTED";
-
-    @Override
-    public Kind kind() {
-      return Kind.WORKER_RECONNECTED;
-    }
-
-    @Override
-    public String reasonName() {
-      return ACCEPTED;
-    }
-  }
-
-  /** The endpoint list became confirmed or unconfirmed; the subject is the event stream. */
-  record EndpointListState(EndpointListReason reason) implements WithReason {
-    /** What it became. */
-    public enum EndpointListReason implements EventReason {
-      /** All events of the stream so far have been received. */
-      CONFIRMED,
-      /** The stream may have events that have not been received. */
-      UNCONFIRMED
-    }
-
-    private static final String SUBJECT = "stream";
-
-    @Override
-    public Kind kind() {
-      return Kind.ENDPOINT_LIST;
-    }
-
-    @Override
-    public String subjectId() {
-      return SUBJECT;
-    }
-  }
-
   /** An invariant was violated at a time since the router's start. */
   record InvariantViolated(RouterInvariant invariant, String subjectId, Duration time)
       implements RouterEvent {
--- a/src/main/java/switchgap/server/platform/AttemptObserver.java
+++ b/src/main/java/switchgap/server/platform/AttemptObserver.java
@@ -2,6 +2,7 @@
 
 import switchgap.policy.api.AttemptOutcome;
 import switchgap.router.Attempt;
+import switchgap.router.EndpointEvent;
 import switchgap.router.PendingRequest;
 import switchgap.router.RequestObserver;
 import switchgap.router.Response;
@@ -24,12 +25,12 @@
 
   @Override
   public void probeEnded(WorkerEntry worker, AttemptOutcome outcome) {
-    events.record(new RouterEvent.WorkerProbed(worker.name(), outcome));
+    events.record(new EndpointEvent.WorkerProbed(worker.name(), outcome));
   }
 
   @Override
   public void workerReconnected(WorkerEntry worker) {
-    events.record(new RouterEvent.WorkerReconnected(worker.name()));
+    events.record(new EndpointEvent.WorkerReconnected(worker.name()));
   }
 
   @Override
--- a/src/main/java/switchgap/server/platform/PlatformRouter.java
+++ b/src/main/java/switchgap/server/platform/PlatformRouter.java
@@ -16,10 +16,10 @@
 import switchgap.net.NetworkTransport;
 import switchgap.protocol.resp.RespWorkerTransport;
 import switchgap.protocol.thrift.ThriftServer;
+import switchgap.router.EndpointEvent;
+import switchgap.router.EndpointEvent.ListState;
 import switchgap.router.RouterCore;
 import switchgap.router.RouterDiagnostics;
-import switchgap.router.RouterEvent;
-import switchgap.router.RouterEvent.EndpointListState.EndpointListReason;
 import switchgap.router.RouterEvents;
 
 /**
@@ -38,7 +38,7 @@
   private final ThriftServer clients;
   private final EventStreamClient eventStream;
   private final Duration longestTimeout;
-  private final AtomicReference<EndpointListReason> endpointListState = new AtomicReference<>();
+  private final AtomicReference<ListState> endpointListState = new AtomicReference<>();
   private volatile boolean isEndpointListKnown;
 
   /**
@@ -116,24 +116,24 @@
   public void listConfirmed(Duration validity) {
     Duration until = now().plus(validity);
     eventLoop.postUrgent(core -> core.endpointListConfirmedUntil(until));
-    recordListState(EndpointListReason.CONFIRMED);
+    recordListState(ListState.CONFIRMED);
   }
 
   @Override
   public void listUnconfirmed() {
     eventLoop.postUrgent(core -> core.endpointListConfirmedUntil(Duration.ZERO));
-    recordListState(EndpointListReason.UNCONFIRMED);
+    recordListState(ListState.UNCONFIRMED);
   }
 
-  private void recordListState(EndpointListReason state) {
+  private void recordListState(ListState state) {
     if (endpointListState.getAndSet(state) != state) {
-      diagnostics.events().record(new RouterEvent.EndpointListState(state));
+      diagnostics.events().record(new EndpointEvent.ListChanged(state));
     }
   }
 
   /** Whether the endpoint list is confirmed: its event stream delivers. */
   boolean isEndpointListConfirmed() {
-    return endpointListState.get() == EndpointListReason.CONFIRMED;
+    return endpointListState.get() == ListState.CONFIRMED;
   }
 
   /** Closes what is overdue, and schedules the next sweep. */
--- a/src/main/java/switchgap/testbed/soak/EventStreamFaults.java
+++ b/src/main/java/switchgap/testbed/soak/EventStreamFaults.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import switchgap.testbed.process.ProcessSignal;
 
 /** Faults of the event stream. Thread-safe: several may be active at a time. */
@@ -113,25 +112,18 @@
    */
   private void failWhileFleetChanges(int millis, Random random)
       throws IOException, InterruptedException {
-    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    long startNanos = System.nanoTime();
     FailedStream failed = fail(random);
     WorkerRestarts restarts = new WorkerRestarts(fleet);
     Thread.sleep(random.nextInt(MAX_FLEET_CHANGE_DELAY_MILLIS));
     WorkerEmulator replaced = fleet.replace(random.nextInt());
     restarts.restart(random, false);
     restarts.restart(random, true);
-    sleepUntil(endNanos);
+    Sleep.until(startNanos, millis);
     failed.recover();
     fleet.remove(replaced);
   }
 
-  private static void sleepUntil(long endNanos) throws InterruptedException {
-    long left = endNanos - System.nanoTime();
-    if (left > 0) {
-      TimeUnit.NANOSECONDS.sleep(left);
-    }
-  }
-
   private void silence(int millis) throws InterruptedException {
     EventStreamEmulator silenced = current();
     Outage outage = beginOutage(OutageCause.EVENT_STREAM);
--- a/src/main/java/switchgap/testbed/soak/RouterProcessFaults.java
+++ b/src/main/java/switchgap/testbed/soak/RouterProcessFaults.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import switchgap.testbed.process.ProcessSignal;
 
@@ -78,23 +77,16 @@
       long startNanos = System.nanoTime();
       router.signal(ProcessSignal.TERM);
       router.sendSeries(random.nextInt(MAX_FURTHER_SIGNALS + 1), random);
-      sleepUntil(startNanos, NEW_CONNECTIONS_MILLIS);
+      Sleep.until(startNanos, NEW_CONNECTIONS_MILLIS);
       router.takeNoNewClients();
       int assumedMillis = Math.min(timeoutMillis, MAX_ASSUMED_TIMEOUT_MILLIS);
-      sleepUntil(startNanos, assumedMillis + KILL_MARGIN_MILLIS);
+      Sleep.until(startNanos, assumedMillis + KILL_MARGIN_MILLIS);
       router.killIfAlive();
       router.takeOutOfRotation();
       restart(router);
     }
   }
 
-  private static void sleepUntil(long startNanos, int atMillis) throws InterruptedException {
-    long left = startNanos + TimeUnit.MILLISECONDS.toNanos(atMillis) - System.nanoTime();
-    if (left > 0) {
-      TimeUnit.NANOSECONDS.sleep(left);
-    }
-  }
-
   private void killSome(Random random) throws IOException, InterruptedException {
     for (int i = random.nextInt(MAX_ROUTERS_AT_ONCE); i >= 0; i--) {
       kill(routers.draw(random));
--- a/src/main/java/switchgap/testbed/soak/Soak.java
+++ b/src/main/java/switchgap/testbed/soak/Soak.java
@@ -191,25 +191,18 @@
     List<Thread> threads = new ArrayList<>();
     long startNanos = System.nanoTime();
     for (PlannedFault fault : faults) {
-      sleepUntil(startNanos, fault.startMillis());
+      Sleep.until(startNanos, fault.startMillis());
       Thread thread = new Thread(() -> runner.play(fault), "fault");
       thread.setDaemon(true);
       thread.start();
       threads.add(thread);
     }
-    sleepUntil(startNanos, options.seconds * 1000);
+    Sleep.until(startNanos, options.seconds * 1000);
     for (Thread thread : threads) {
       thread.join();
     }
   }
 
-  private static void sleepUntil(long startNanos, int atMillis) throws InterruptedException {
-    long left = startNanos + atMillis * 1_000_000L - System.nanoTime();
-    if (left > 0) {
-      TimeUnit.NANOSECONDS.sleep(left);
-    }
-  }
-
   private void stopClients() throws InterruptedException {
     clients.forEach(ClientEmulator::stop);
     for (Thread thread : clientThreads) {
