Decline upgrade offers before Grizzly acts on them; keep the connection

Callers: each response to a request with an Upgrade header lacked Content-Type, Date and Connection, and the server closed the connection without notice. Java's HttpClient offers h2c on each connection, and its next request could end without a byte. A worker whose response advertises another protocol was never heard to the end. Cause: HttpCodecFilter.onIncomingUpgrade makes Grizzly ignore lengths and chunks and pass over prepareResponse, also for an offer that nobody accepts. Fix: both codec filters drop the offer, so that the message is plain in every respect. HttpServerTest.handlesUpgradeOfferAsPlainRequestAndClosesConnection asserted the fault itself, the close; it now asserts a further exchange on the same connection, which a close would fail.

--- a/src/main/java/switchgap/net/HttpClientConnector.java
+++ b/src/main/java/switchgap/net/HttpClientConnector.java
@@ -6,7 +6,6 @@
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 
 /** Opens HTTP client connections that share one filter chain. */
@@ -31,7 +30,7 @@
     filters.add(new SocketFilter());
     filters.add(new UnsolicitedBytesFilter(connections));
     filters.add(new InterimResponseFilter(connections));
-    filters.add(new HttpClientFilter());
+    filters.add(new ResponseCodecFilter());
     filters.add(new ResponseFilter(connections));
     this.connector =
         TCPNIOConnectorHandler.builder(transport.transport).processor(filters.build()).build();
--- a/src/main/java/switchgap/net/HttpServer.java
+++ b/src/main/java/switchgap/net/HttpServer.java
@@ -8,11 +8,8 @@
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.http.HttpServerFilter;
-import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
-import org.glassfish.grizzly.utils.DelayedExecutor;
 
 /**
  * An HTTP/1.1 server that receives complete requests, within {@link HttpServerLimits}, and passes
@@ -29,17 +26,6 @@
     default void clientDisconnected(HttpExchange exchange) {}
   }
 
-  /**
-   * Disables Grizzly's idle timers, because its DelayedExecutor measures idle time by the wall
-   * clock, which may be stepped. {@link OverdueConnectionSweeper} closes idle connections instead.
-   */
-  private static final DelayedExecutor NO_IDLE_TIMERS = null;
-
-  private static final String DEFAULT_CONTENT_TYPE = "text/plain";
-  private static final int UNLIMITED_REQUESTS = -1;
-  private static final int MAX_REQUEST_HEADERS = 100;
-  private static final int MAX_RESPONSE_HEADERS = 100;
-
   private final Attribute<ServerConnectionState> states =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
           "switchgap.http-server-connection." + System.identityHashCode(this),
@@ -69,7 +55,7 @@
     FilterChainBuilder filters = FilterChainBuilder.stateless();
     filters.add(new SocketFilter());
     filters.add(new RequestStartFilter(states));
-    filters.add(httpFilter(limits));
+    filters.add(new RequestCodecFilter(limits));
     filters.add(new RequestAssemblyFilter(states, openConnections, limits, handler));
     TCPNIOBindingHandler binding =
         TCPNIOBindingHandler.builder(transport.transport).processor(filters.build()).build();
@@ -78,20 +64,6 @@
     return ((InetSocketAddress) listener.getLocalAddress()).getPort();
   }
 
-  @SuppressWarnings("deprecation") // Grizzly 4.0.2 has no replacement with limits.
-  private static HttpServerFilter httpFilter(HttpServerLimits limits) {
-    KeepAlive keepAlive = new KeepAlive();
-    keepAlive.setMaxRequestsCount(UNLIMITED_REQUESTS);
-    return new HttpServerFilter(
-        false,
-        limits.maxHeaderBytes(),
-        DEFAULT_CONTENT_TYPE,
-        keepAlive,
-        NO_IDLE_TIMERS,
-        MAX_REQUEST_HEADERS,
-        MAX_RESPONSE_HEADERS);
-  }
-
   /** Stops accepting connections. Open connections are not closed. */
   public void stopListening() {
     if (listener != null) {
--- a/src/main/java/switchgap/net/RequestAssemblyFilter.java
+++ b/src/main/java/switchgap/net/RequestAssemblyFilter.java
@@ -76,8 +76,7 @@
       return context.getStopAction();
     }
     state.body().append(part.getContent(), request.getContentLength());
-    boolean completesUpgradeRequest = completesUpgradeRequest(request, state);
-    boolean complete = part.isLast() || completesUpgradeRequest;
+    boolean complete = part.isLast();
     part.recycle();
     if (complete && !state.isDiscardingBody()) {
       startExchange(connection, request, state);
@@ -93,21 +92,6 @@
         || request.getContentLength() > limits.maxBodyBytes();
   }
 
-  /**
-   * Whether a request that offers a protocol upgrade is complete; Grizzly never marks any part of
-   * such a request as the last one. The request is handled as a plain request, and its connection
-   * is closed after the response, because the filters interpret further bytes on the connection as
-   * the other protocol.
-   */
-  private static boolean completesUpgradeRequest(
-      HttpRequestPacket request, ServerConnectionState state) {
-    boolean complete = request.isUpgrade() && state.body().size() >= request.getContentLength();
-    if (complete) {
-      request.getProcessingState().setKeepAlive(false);
-    }
-    return complete;
-  }
-
   private void startExchange(
       Connection<?> connection, HttpRequestPacket request, ServerConnectionState state) {
     HttpExchange exchange =
--- a/src/test/java/switchgap/net/HttpClientConnectionTest.java
+++ b/src/test/java/switchgap/net/HttpClientConnectionTest.java
@@ -229,4 +229,17 @@
     assertClosedByClient();
     assertThat(outcomes.isEmpty()).isTrue();
   }
+
+  /** Guards against an attempt that times out because its worker advertises another protocol. */
+  @Test
+  void responseThatAdvertisesAnUpgradeIsCompleteAndItsConnectionReusable() throws Exception {
+    for (int i = 0; i < 2; i++) {
+      Outcomes outcomes = send("/", "body");
+      receiveRequest("body");
+      reply(
+          "HTTP/1.1 200 OK\r\nUpgrade: h2c\r\nConnection: Upgrade\r\nX-Part: One\r\n"
+              + "Content-Length: 2\r\n\r\nhi");
+      assertThat(outcomes.next()).isEqualTo("200 One hi true");
+    }
+  }
 }
--- a/src/test/java/switchgap/net/HttpServerTest.java
+++ b/src/test/java/switchgap/net/HttpServerTest.java
@@ -55,12 +55,13 @@
   }
 
   @Test
-  void handlesUpgradeOfferAsPlainRequestAndClosesConnection() throws Exception {
+  void handlesUpgradeOfferAsPlainRequestAndKeepsConnection() throws Exception {
     try (Socket client = connect()) {
-      send(client, "GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n");
-      assertThat(nextExchange().respond(200, Map.of(), ascii("plain"))).isTrue();
-      assertThat(receive(client, "plain")).startsWith("HTTP/1.1 200 ");
-      assertClosedByServer(client);
+      for (int i = 0; i < 2; i++) {
+        send(client, "GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n");
+        assertThat(nextExchange().respond(200, Map.of(), ascii("plain"))).isTrue();
+        assertThat(receive(client, "\r\n\r\nplain")).startsWith("HTTP/1.1 200 ");
+      }
     }
   }
 
