Policy: reserve more time before deadlines while timers are handled late

Callers: no final response by the deadline. The reserve for it was two ticks (20 ms), whatever the loop's lateness; once the loop's clock is past the deadline, the core answers nothing (deadlineMissed). Cause: on a busy machine timers are handled 10 to 60 ms late, and the response then passes the rest of the tick and a writer thread. Fix: the event loop reports how long after their due time timers were handled, tick included, but no pauses of the process; DeadlineMargin keeps the worst of the last 10 s plus a tick, at least two ticks, at most a tenth of the shortest timeout. RouterCoreTest.answersBeforeTheDeadlineThoughTimersAreLate: DEADLINE_MISSED with the margin kept at its minimum, FAILED in time with the change; usesTheWholeTimeAgainOnceTimersArePunctual holds the way back.

--- a/src/main/java/switchgap/eventloop/EventLoop.java
+++ b/src/main/java/switchgap/eventloop/EventLoop.java
@@ -136,6 +136,19 @@
       }
       core.tick(now(), batch);
       batch.clear();
+      if (isDue) {
+        reportTimerDelay(now().minus(due));
+      }
+    }
+  }
+
+  /**
+   * Reports how long after their due time timers have been handled, which includes the duration of
+   * the tick. A pause of the process is no measure of the delays to expect.
+   */
+  private void reportTimerDelay(Duration delay) {
+    if (delay.compareTo(PAUSE_THRESHOLD) <= 0) {
+      core.timersDelayed(delay);
     }
   }
 
--- a/src/main/java/switchgap/policy/RetryPolicy.java
+++ b/src/main/java/switchgap/policy/RetryPolicy.java
@@ -38,7 +38,7 @@
    * repeat by its idempotency key.
    */
   private boolean isRepeatableAt(Request request, Worker worker) {
-    Duration window = request.requestClass.deduplicationWindow.minus(state.deadlineMargin);
+    Duration window = request.requestClass.deduplicationWindow.minus(state.minDeadlineMargin);
     boolean isRepeatDropped =
         state.isWithin(window, request.firstSentAt()) && request.isInDeduplicationScope(worker);
     return request.isIdempotent() || (request.isRepeatable() && isRepeatDropped);
@@ -54,7 +54,7 @@
   /** Whether an attempt of this duration would end in time before the request's deadline. */
   boolean endsInTime(Request request, Duration duration) {
     return Durations.isShorter(
-        state.now().plus(duration).plus(state.deadlineMargin), request.deadline);
+        state.now().plus(duration).plus(state.deadlineMargin()), request.deadline);
   }
 
   /** Sends the final response: a rejection if the client may safely retry, else a failure. */
--- a/src/main/java/switchgap/policy/RoutingPolicy.java
+++ b/src/main/java/switchgap/policy/RoutingPolicy.java
@@ -38,9 +38,6 @@
           new double[] {0.5}, // errors
           new double[] {0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48}); // concurrency
 
-  /** Ticks before a deadline at which attempts time out, so that the response is not late. */
-  private static final int DEADLINE_MARGIN_TICKS = 2;
-
   /**
    * Minimum time to the deadline of a new request, as a multiple of its expected duration. With
    * less time it would probably fail and only load the workers.
@@ -57,6 +54,7 @@
   private static final int POLLS_PER_INTERVAL = 4;
 
   private final PolicyState state;
+  private final DeadlineMargin deadlineMargin;
   private final SlowStart slowStart;
   private final OutlierDetector outliers;
   private final LoadEstimator estimator;
@@ -77,8 +75,9 @@
   public RoutingPolicy(RouterSettings routerSettings, long seed) {
     SettingsSnapshot settings = new SettingsSnapshot(routerSettings, HISTOGRAM_EDGES);
     double ownShare = Math.min(1, LoadEstimator.DEFAULT_CAPACITY / settings.routerCount);
-    Duration margin = settings.tickInterval.multipliedBy(DEADLINE_MARGIN_TICKS);
+    Duration margin = DeadlineMargin.min(settings.tickInterval);
     state = new PolicyState(settings, HISTOGRAM_EDGES, seed, ownShare, margin);
+    deadlineMargin = new DeadlineMargin(state);
     slowStart = new SlowStart(state);
     outliers = new OutlierDetector(state);
     estimator = new LoadEstimator(state, slowStart);
@@ -115,6 +114,7 @@
   /** The periodic update, once a second: lets old measurements fade and derives new estimates. */
   private void runPeriodicUpdate() {
     state.decayRequestCounts();
+    deadlineMargin.forgetOutdatedDelay();
     slowStart.updateWorkerRate();
     estimator.updateEstimates();
     outliers.decayOutcomeCounts();
@@ -127,6 +127,11 @@
     wakeUps.fired(token);
   }
 
+  @Override
+  public void timersDelayed(Duration delay) {
+    deadlineMargin.timersDelayed(delay);
+  }
+
   @Override
   public void requestArrived(RequestArrival arrival) {
     Request request = state.add(arrival);
--- a/src/main/java/switchgap/policy/api/PolicyEvents.java
+++ b/src/main/java/switchgap/policy/api/PolicyEvents.java
@@ -38,6 +38,12 @@
    */
   default void workerReconnected(int worker) {}
 
+  /**
+   * Timers of an earlier tick were handled later than they were due, by this delay at most. Pauses
+   * of the whole process are not reported. Without this event timers are considered punctual.
+   */
+  default void timersDelayed(Duration delay) {}
+
   /** A request was accepted; the policy has to cause exactly one final response to it. */
   void requestArrived(RequestArrival arrival);
 
--- a/src/main/java/switchgap/policy/api/RouterSettings.java
+++ b/src/main/java/switchgap/policy/api/RouterSettings.java
@@ -25,6 +25,16 @@
   /** Timeout of requests of the class. */
   Duration requestTimeout(int requestClass);
 
+  /** The shortest request timeout of all classes. */
+  default Duration shortestTimeout() {
+    Duration shortest = requestTimeout(0);
+    for (int requestClass = 1; requestClass < requestClassCount(); requestClass++) {
+      Duration timeout = requestTimeout(requestClass);
+      shortest = timeout.compareTo(shortest) < 0 ? timeout : shortest;
+    }
+    return shortest;
+  }
+
   /** The longest request timeout of all classes. */
   default Duration longestTimeout() {
     Duration longest = Duration.ZERO;
--- a/src/main/java/switchgap/policy/state/ActionDispatcher.java
+++ b/src/main/java/switchgap/policy/state/ActionDispatcher.java
@@ -23,7 +23,7 @@
       worker.slowStartSends.add(state.now());
     }
     limitSends(worker);
-    Duration timeout = request.deadline.minus(state.now()).minus(state.deadlineMargin);
+    Duration timeout = request.deadline.minus(state.now()).minus(state.deadlineMargin());
     state.actions().startAttempt(request.id, worker.id, timeout);
   }
 
--- a/src/main/java/switchgap/policy/state/PolicyState.java
+++ b/src/main/java/switchgap/policy/state/PolicyState.java
@@ -27,12 +27,13 @@
    */
   public final double ownShare;
 
-  /** Time before the deadline of a request by which all its attempts have to end. */
-  public final Duration deadlineMargin;
+  /** The deadline margin while timers are punctual. */
+  public final Duration minDeadlineMargin;
 
   /** Carries out decisions in the current tick. */
   public final ActionDispatcher dispatcher = new ActionDispatcher(this);
 
+  private Duration deadlineMargin;
   private PolicyActions actions;
   private Duration now = Duration.ZERO;
   private long seconds;
@@ -57,15 +58,16 @@
       HistogramEdges edges,
       long seed,
       double ownShare,
-      Duration deadlineMargin) {
+      Duration minDeadlineMargin) {
     this.settings = settings;
     this.edges = edges;
     this.random = new SplittableRandom(seed);
     this.fleet = new FleetStatistics(edges);
     this.tenants = new TenantUsage(settings.tenantQuotas);
-    this.loadQuota = new LoadQuotaUsage(settings, deadlineMargin);
+    this.loadQuota = new LoadQuotaUsage(settings, minDeadlineMargin);
     this.ownShare = ownShare;
-    this.deadlineMargin = deadlineMargin;
+    this.minDeadlineMargin = minDeadlineMargin;
+    this.deadlineMargin = minDeadlineMargin;
   }
 
   /** Sets the time of a new tick and the receiver of its decisions. */
@@ -83,6 +85,16 @@
     return actions;
   }
 
+  /** Time before the deadline of a request by which all its attempts have to end. */
+  public Duration deadlineMargin() {
+    return deadlineMargin;
+  }
+
+  /** Sets the margin for attempts that start from now on. */
+  public void setDeadlineMargin(Duration margin) {
+    deadlineMargin = margin;
+  }
+
   /** Number of periodic updates so far; there is one per second. */
   public long seconds() {
     return seconds;
--- a/src/main/java/switchgap/policy/state/SettingsSnapshot.java
+++ b/src/main/java/switchgap/policy/state/SettingsSnapshot.java
@@ -22,6 +22,9 @@
   /** The shortest latency objective of all request classes. */
   public final Duration shortestObjective;
 
+  /** The shortest request timeout of all request classes. */
+  public final Duration shortestTimeout;
+
   /** Quota of each tenant in requests per second. */
   public final double[] tenantQuotas;
 
@@ -76,6 +79,7 @@
             .map(requestClass -> requestClass.latencyObjective)
             .min(Comparator.naturalOrder())
             .orElseThrow();
+    shortestTimeout = settings.shortestTimeout();
     tenantQuotas = new double[settings.tenantCount()];
     Arrays.setAll(tenantQuotas, settings::tenantQuota);
     overQuotaWeight = settings.overQuotaWeight();
--- a/src/main/java/switchgap/router/CoreContext.java
+++ b/src/main/java/switchgap/router/CoreContext.java
@@ -10,6 +10,7 @@
 final class CoreContext {
   private final TimerQueue timers = new TimerQueue();
   private Duration now = Duration.ZERO;
+  private Duration timerDelay = Duration.ZERO;
   private PolicyEvents policyEvents;
   private RequestObserver observer = (request, response) -> {};
 
@@ -23,6 +24,19 @@
     policyEvents = events;
   }
 
+  /** Records a delay of timers, to be reported in the next tick. */
+  void recordTimerDelay(Duration delay) {
+    timerDelay = delay.compareTo(timerDelay) > 0 ? delay : timerDelay;
+  }
+
+  /** Reports the longest delay of timers since the last report, if there was any. */
+  void reportTimerDelay() {
+    if (!timerDelay.isZero()) {
+      policyEvents.timersDelayed(timerDelay);
+      timerDelay = Duration.ZERO;
+    }
+  }
+
   /** Marks the end of the events of the tick. */
   void closeEvents() {
     policyEvents = null;
--- a/src/main/java/switchgap/router/RouterCore.java
+++ b/src/main/java/switchgap/router/RouterCore.java
@@ -69,6 +69,7 @@
         time,
         policyEvents -> {
           context.openEvents(policyEvents);
+          context.reportTimerDelay();
           events.forEach(event -> event.accept(this));
           context.timers().runDue(time);
           context.closeEvents();
@@ -84,6 +85,14 @@
     return context.timers().nextDue();
   }
 
+  /**
+   * Records that the timers of the last tick were handled later than they were due, by this delay.
+   * The policy is notified in the next tick.
+   */
+  public void timersDelayed(Duration delay) {
+    context.recordTimerDelay(delay);
+  }
+
   /** The time of the current or last tick, since the router's start. */
   public Duration now() {
     return context.now();
--- a/src/test/java/switchgap/router/RouterCoreHarness.java
+++ b/src/test/java/switchgap/router/RouterCoreHarness.java
@@ -95,6 +95,20 @@
     }
   }
 
+  /**
+   * Runs the due timers as an event loop does that handles each of them late, up to a time since
+   * the start.
+   */
+  void runLateUntil(long millis, long delayMillis) {
+    Duration due = core.nextDue();
+    while (due != null && due.compareTo(Duration.ofMillis(millis)) <= 0) {
+      long handledMillis = due.plusNanos(999_999).toMillis() + delayMillis;
+      tickAt(Math.max(now.toMillis(), handledMillis));
+      core.timersDelayed(now.minus(due));
+      due = core.nextDue();
+    }
+  }
+
   void post(Consumer<RouterCore> event) {
     nextEvents.add(event);
   }
--- a/src/test/java/switchgap/router/RouterCoreTest.java
+++ b/src/test/java/switchgap/router/RouterCoreTest.java
@@ -55,6 +55,38 @@
     assertNoRequestRemains();
   }
 
+  /**
+   * Guards against silence at the deadline: on a busy machine, the timer that ends an attempt was
+   * handled later than the time that was left for the final response.
+   */
+  @Test
+  void answersBeforeTheDeadlineThoughTimersAreLate() {
+    harness.postReadyWorkers("a");
+    harness.tickAt(0);
+    harness.runLateUntil(2000, 40);
+    harness.tickAt(2099);
+    harness.postRequest(NON_IDEMPOTENT, FUNCTION);
+    harness.tickAt(2100);
+    harness.runLateUntil(4000, 40);
+    assertThat(harness.observations()).containsExactly(ACCEPTED, ATTEMPT_ABANDONED, FAILED);
+    assertNoRequestRemains();
+  }
+
+  @Test
+  void usesTheWholeTimeAgainOnceTimersArePunctual() {
+    harness.postReadyWorkers("a");
+    harness.tickAt(0);
+    harness.runLateUntil(2000, 40);
+    harness.runLateUntil(14_000, 0);
+    harness.tickAt(14_099);
+    harness.postRequest(NON_IDEMPOTENT, FUNCTION);
+    harness.tickAt(14_100);
+    harness.runUntil(14_980);
+    harness.postSuccess(harness.sentAttempts().get(0));
+    harness.tickAt(14_985);
+    assertThat(harness.observations()).containsExactly(ACCEPTED, SUCCEEDED);
+  }
+
   @Test
   void discardsALateResponseOfAnAttemptThatTimedOut() {
     harness.postReadyWorkers("a");
