Gateway: the warm-up encodes the responses of the invoke API

Cause: the first problem document of a router loads 35 classes (Jackson's tree and buffers, ResponseWriter, ProblemDetails), 20 ms on an idle machine, after the last check of the deadline. The warm-up's server answered with a plain 200. Fix: the warm-up's server answers with the responses of the invoke API, the last one a rejection. JvmWarmupTest.firstRejectionLoadsNoClassThatEncodesResponses, in a process of its own: 35 classes before, none now.

--- a/src/main/java/switchgap/protocol/invoke/ProblemDetails.java
+++ b/src/main/java/switchgap/protocol/invoke/ProblemDetails.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import switchgap.admission.ServiceLevel;
 import switchgap.config.EnumWords;
 
 /**
@@ -21,6 +23,25 @@
     this(type, detail, null);
   }
 
+  /**
+   * The problem of a request that was rejected without an effect.
+   *
+   * @param shedBy the service level that rejected it, or null
+   * @param retryAfter the delay after which the client may retry; null for no advice
+   */
+  static ProblemDetails rejected(ServiceLevel shedBy, Duration retryAfter) {
+    return new ProblemDetails(
+        ProblemType.REJECTED,
+        "not done; trying again is harmless",
+        ProblemOutcome.rejected(shedBy, retryAfter));
+  }
+
+  /** The problem of a request that may have been executed. */
+  static ProblemDetails failed() {
+    return new ProblemDetails(
+        ProblemType.FAILED, "no promise is made about its effect", ProblemOutcome.failed());
+  }
+
   /** The problem of a request that arrives while the router is shutting down. */
   static ProblemDetails routerStopping() {
     return notAccepted("the router is stopping");
--- a/src/main/java/switchgap/protocol/invoke/ResponseWriter.java
+++ b/src/main/java/switchgap/protocol/invoke/ResponseWriter.java
@@ -71,19 +71,11 @@
       headers.put(HeaderNames.RETRY_AFTER, String.valueOf(secondsRoundedUp));
       headers.put(HeaderNames.RETRY_AFTER_MILLIS, String.valueOf(millis));
     }
-    ProblemDetails problem =
-        new ProblemDetails(
-            ProblemType.REJECTED,
-            "not done; trying again is harmless",
-            ProblemOutcome.rejected(shedBy, retryAfter));
-    writeProblem(exchange, headers, problem);
+    writeProblem(exchange, headers, ProblemDetails.rejected(shedBy, retryAfter));
   }
 
   private static void writeFailure(HttpExchange exchange, Map<String, String> headers) {
-    ProblemDetails problem =
-        new ProblemDetails(
-            ProblemType.FAILED, "no promise is made about its effect", ProblemOutcome.failed());
-    writeProblem(exchange, headers, problem);
+    writeProblem(exchange, headers, ProblemDetails.failed());
   }
 
   /** Writes the problem of a request that was not accepted, or of an invalid path. */
--- a/src/main/java/switchgap/server/gateway/JvmWarmup.java
+++ b/src/main/java/switchgap/server/gateway/JvmWarmup.java
@@ -15,6 +15,7 @@
 import switchgap.net.HttpServer;
 import switchgap.net.HttpServerLimits;
 import switchgap.net.NetworkTransport;
+import switchgap.protocol.invoke.ResponseWarmup;
 
 /**
  * Runs synthetic requests through a separate core and server before the router accepts requests.
@@ -56,10 +57,7 @@
 
   private static void warmUpSockets(NetworkTransport network) throws IOException {
     try (HttpServer server =
-        new HttpServer(
-            network,
-            HttpServerLimits.DEFAULT,
-            exchange -> exchange.respond(200, HEADERS, exchange.body()))) {
+        new HttpServer(network, HttpServerLimits.DEFAULT, new ResponseWarmup(EXCHANGE_COUNT))) {
       int port = server.listen(LOOPBACK, 0);
       CountDownLatch done = new CountDownLatch(1);
       new HttpClientConnector(network, null, MAX_RESPONSE_BYTES)
--- a/src/test/java/switchgap/server/gateway/JvmWarmupTest.java
+++ b/src/test/java/switchgap/server/gateway/JvmWarmupTest.java
@@ -2,15 +2,30 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.lang.ref.WeakReference;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import switchgap.testbed.process.ChildProcess;
+import switchgap.testbed.process.LoopbackPorts;
 
 /** The state of the JVM when a router starts to accept requests. */
 class JvmWarmupTest {
+  private static final Pattern ENCODER_CLASS =
+      Pattern.compile(
+          "com\\.fasterxml\\.jackson|switchgap\\.protocol\\.invoke\\.(Problem|Response)");
+
   private static final int START_COUNT = 5;
 
   /** The rest of a start takes less than a quarter of it, also if it loads classes. */
@@ -70,4 +85,50 @@
       }
     }
   }
+
+  /**
+   * Guards against a response after the deadline: the first rejection of a router loaded the
+   * classes that encode it, which takes tens of milliseconds on a busy machine.
+   */
+  @Test
+  void firstRejectionLoadsNoClassThatEncodesResponses(@TempDir Path directory) throws Exception {
+    int port = LoopbackPorts.findFree(2)[0];
+    Path loadedClasses = directory.resolve("classes.log");
+    Process router = startRouterWithoutWorkers(directory, port, loadedClasses);
+    try {
+      LoopbackPorts.awaitListening(port);
+      int classesAtStart = encoderClasses(loadedClasses).size();
+      HttpRequest invocation =
+          HttpRequest.newBuilder(
+                  URI.create("http://127.0.0.1:" + port + "/v1/functions/again-1/invoke"))
+              .POST(HttpRequest.BodyPublishers.ofString("{}"))
+              .build();
+      HttpResponse<String> response =
+          HttpClient.newHttpClient().send(invocation, HttpResponse.BodyHandlers.ofString());
+      assertThat(GatewayFixture.outcomeOf(response)).isEqualTo(GatewayFixture.REJECTED);
+      List<String> classes = encoderClasses(loadedClasses);
+      assertThat(classes.subList(classesAtStart, classes.size())).isEmpty();
+    } finally {
+      router.destroyForcibly().waitFor();
+    }
+  }
+
+  private static Process startRouterWithoutWorkers(Path directory, int port, Path loadedClasses)
+      throws IOException {
+    String list = "list:\n  workers:\n    - {name: w0, port: 1}\n";
+    String listen = "listen: {port: " + port + "}\n";
+    Path config =
+        Files.writeString(
+            directory.resolve("router.yaml"), GatewayFixture.SETTINGS + listen + list);
+    return ChildProcess.start(
+        directory.resolve("router.log"),
+        List.of("-Xlog:class+load:file=" + loadedClasses),
+        List.of("router", config.toString()));
+  }
+
+  private static List<String> encoderClasses(Path loadedClasses) throws IOException {
+    return Files.readAllLines(loadedClasses).stream()
+        .filter(line -> ENCODER_CLASS.matcher(line).find())
+        .toList();
+  }
 }
