Close a listener only once its selector thread has accepted every waiting client

Cause: the shutdown closed the listener unless an accept had failed within the last 100 ms. A queue that is merely unread did not count: a selector thread that is busy, an accept that EINTR interrupts (the JDK returns null as for an empty queue), a native call that repeats ECONNABORTED, or a queue not emptied 100 ms after accepts work again. Besides, the JDK closes a registered socket only when its selector runs again, up to 7 ms later. Fix: the selector thread itself accepts until the kernel reports no waiting client, closes the socket in the same step and lets the selector release it. If accepts fail, are paused or the thread does not answer, the listener stays open and the shutdown tries again.

--- a/src/main/java/switchgap/net/SelectorThreadStrategy.java
+++ b/src/main/java/switchgap/net/SelectorThreadStrategy.java
@@ -56,9 +56,7 @@
       for (int acceptCount = 0;
           acceptCount < MAX_ACCEPTS_PER_ITERATION && !stall.isPaused();
           acceptCount++) {
-        MAX_ACCEPT_DELAY.set(stall.maxAcceptDelay());
-        listener.onAccept(); // This does nothing if no client is waiting.
-        stall.acceptSucceeded();
+        acceptOne(listener, stall);
       }
     } catch (IOException e) {
       if (listener.isOpen()) {
@@ -70,6 +68,13 @@
     }
   }
 
+  /** Accepts a client on the listener's selector thread. Has no effect if none is waiting. */
+  static void acceptOne(TCPNIOServerConnection listener, AcceptStall stall) throws IOException {
+    MAX_ACCEPT_DELAY.set(stall.maxAcceptDelay());
+    listener.onAccept();
+    stall.acceptSucceeded();
+  }
+
   /** Maximum time for which the client that the calling thread is accepting may have waited. */
   static Duration maxAcceptDelay() {
     return MAX_ACCEPT_DELAY.get();
--- a/src/main/java/switchgap/net/TcpServer.java
+++ b/src/main/java/switchgap/net/TcpServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.CancelledKeyException;
+import java.time.Duration;
 import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -13,9 +14,11 @@
  */
 public final class TcpServer implements AutoCloseable {
   private final TCPNIOServerConnection socket;
+  private final ListenerCloser closer;
 
   private TcpServer(TCPNIOServerConnection socket) {
     this.socket = socket;
+    this.closer = new ListenerCloser(socket);
   }
 
   /**
@@ -73,7 +76,22 @@
     }
   }
 
-  /** Stops accepting connections. Open connections are not closed. */
+  /**
+   * Accepts the clients that wait in the kernel's accept queue, then stops accepting. Open
+   * connections are not closed. Must not be called on a selector thread.
+   *
+   * @param timeout maximum time to wait for the selector thread
+   * @return whether accepting has stopped; false if clients may still be waiting, because accepts
+   *     fail or are paused or because the selector thread is blocked
+   */
+  public boolean stopAccepting(Duration timeout) {
+    return closer.close(timeout);
+  }
+
+  /**
+   * Stops accepting connections at once. Clients that wait in the kernel's accept queue are reset.
+   * Open connections are not closed.
+   */
   @Override
   public void close() {
     ConnectionCloser.close(socket);
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -95,7 +95,17 @@
     messageReader.setHealthy(healthy);
   }
 
-  /** Stops accepting connections; open connections stay open. */
+  /**
+   * Accepts the waiting clients, then stops accepting; see {@link TcpServer#stopAccepting}. Open
+   * connections stay open.
+   *
+   * @return whether accepting has stopped; false if clients may still be waiting
+   */
+  public boolean stopAccepting(Duration timeout) {
+    return listener.stopAccepting(timeout);
+  }
+
+  /** Stops accepting connections at once; open connections stay open. */
   @Override
   public void close() {
     listener.close();
@@ -181,14 +191,6 @@
     return untracked + connections.activeCount() + unaccepted;
   }
 
-  /**
-   * Whether clients may be waiting to be accepted because accepts are stalled or were until just
-   * now.
-   */
-  public boolean isAcceptStalled() {
-    return listener.isAcceptStalled();
-  }
-
   /** Number of connections that the event loop tracks. */
   public int trackedConnections() {
     return connections.size();
--- a/src/main/java/switchgap/server/platform/GracefulShutdown.java
+++ b/src/main/java/switchgap/server/platform/GracefulShutdown.java
@@ -92,14 +92,11 @@
   }
 
   /**
-   * Closes the listener once no client waits in the accept queue, as the close would drop those
-   * clients.
+   * Closes the listener once all clients in the accept queue are accepted, as the close would drop
+   * the others.
    */
   private void stopListeningOnceAccepted() {
-    if (isListening && !router.isAcceptStalled()) {
-      isListening = false;
-      router.stopListening();
-    }
+    isListening = isListening && !router.stopListening();
   }
 
   /** Repeatedly closes quiet connections until no connection is left, or until the given time. */
--- a/src/main/java/switchgap/server/platform/PlatformRouter.java
+++ b/src/main/java/switchgap/server/platform/PlatformRouter.java
@@ -29,6 +29,7 @@
 final class PlatformRouter implements EventStreamListener, AutoCloseable {
   private static final int MAX_EVENT_STREAM_BODY_BYTES = 1 << 16;
   private static final Duration EVENT_LOOP_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration SELECTOR_THREAD_TIMEOUT = Duration.ofMillis(200);
 
   private final RateLimitedLog log;
   private final RouterDiagnostics diagnostics;
@@ -229,11 +230,6 @@
     runOnEventLoop(thriftServer::closeQuietConnections);
   }
 
-  /** Whether clients may be waiting to be accepted. */
-  boolean isAcceptStalled() {
-    return thriftServer.isAcceptStalled();
-  }
-
   /**
    * Fails all pending requests, rejects all later ones, and closes each connection after the reply
    * that leaves it idle.
@@ -242,9 +238,13 @@
     runOnEventLoop(thriftServer::failPendingRequests);
   }
 
-  /** Closes the listener; open connections stay open. */
-  void stopListening() {
-    thriftServer.close();
+  /**
+   * Accepts the waiting clients and closes the listener; open connections stay open.
+   *
+   * @return whether the listener is closed; false if clients may still be waiting
+   */
+  boolean stopListening() {
+    return thriftServer.stopAccepting(SELECTOR_THREAD_TIMEOUT);
   }
 
   /** Closes everything immediately; pending requests get no response. */
