Gateway: a stopping server serves its accept queue and announces each close

Callers: requests in the gateway's accept queue were reset when it stopped (the twin of the platform's fault), and a client whose response came during the stop sent its next request on a connection that the server then closed. Cause: HttpServer.stopListening closed the socket without a look at the queue, and responses of a stopping server said nothing of the close behind them. Evidence: HttpServerStopTest failed 2 of 2 before: with 20 clients in the queue behind a blocked selector thread the 17th request never arrived; no Connection: close. Both pass now. Fix: stopListening uses ListenerCloser; from then on each response carries Connection: close and closes its connection. HttpServer.close, by which emulated processes die, still closes at once.

--- a/src/main/java/switchgap/net/HttpExchange.java
+++ b/src/main/java/switchgap/net/HttpExchange.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
@@ -18,6 +19,7 @@
   private final Connection<?> connection;
   private final HttpRequestPacket request;
   private final HttpResponseWriter response;
+  private final BooleanSupplier keepAlive;
   private final AtomicBoolean responded = new AtomicBoolean();
   private final Runnable responseListener;
   private final String method;
@@ -29,11 +31,17 @@
   /**
    * Creates an exchange that has not been responded to.
    *
+   * @param keepAlive whether connections may carry a request after a response that is sent now; if
+   *     not, the response says so, and the connection closes after it
    * @param responseListener runs before a complete response is sent, but not for a streamed
    *     response, so that a client that disconnects from a stream is still reported
    */
   HttpExchange(
-      Connection<?> connection, HttpRequestPacket request, byte[] body, Runnable responseListener) {
+      Connection<?> connection,
+      HttpRequestPacket request,
+      byte[] body,
+      BooleanSupplier keepAlive,
+      Runnable responseListener) {
     this.connection = connection;
     this.request = request;
     this.response = new HttpResponseWriter(connection, request.getResponse());
@@ -41,6 +49,7 @@
     this.path = request.getRequestURI();
     this.query = request.getQueryString() == null ? "" : request.getQueryString();
     this.body = body;
+    this.keepAlive = keepAlive;
     this.responseListener = responseListener;
   }
 
@@ -117,6 +126,9 @@
       return false;
     }
     responseListener.run();
+    if (!keepAlive.getAsBoolean()) {
+      request.getProcessingState().setKeepAlive(false);
+    }
     response.sendComplete(status, headers, content);
     return true;
   }
--- a/src/main/java/switchgap/net/HttpServer.java
+++ b/src/main/java/switchgap/net/HttpServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.glassfish.grizzly.Connection;
@@ -26,6 +27,11 @@
     default void clientDisconnected(HttpExchange exchange) {}
   }
 
+  /** Attempts to close the listener, as accepts may fail for a while. */
+  private static final int MAX_CLOSE_ATTEMPTS = 3;
+
+  private static final Duration CLOSE_ATTEMPT_TIMEOUT = Duration.ofMillis(200);
+
   private final Attribute<ServerConnectionState> states =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
           "switchgap.http-server-connection." + System.identityHashCode(this),
@@ -35,6 +41,7 @@
   private final RequestHandler handler;
   private final Set<Connection<?>> openConnections = ConcurrentHashMap.newKeySet();
   private TCPNIOServerConnection listener;
+  private volatile boolean stopping;
   private OverdueConnectionSweeper sweeper;
 
   /** Creates a server that does not listen until {@link #listen}. */
@@ -56,7 +63,8 @@
     filters.add(new SocketFilter());
     filters.add(new RequestStartFilter(states));
     filters.add(new RequestCodecFilter(limits));
-    filters.add(new RequestAssemblyFilter(states, openConnections, limits, handler));
+    filters.add(
+        new RequestAssemblyFilter(states, openConnections, limits, handler, () -> !stopping));
     TCPNIOBindingHandler binding =
         TCPNIOBindingHandler.builder(transport.transport).processor(filters.build()).build();
     listener = binding.bind(new InetSocketAddress(host, port), NetworkTransport.LISTEN_BACKLOG);
@@ -64,18 +72,36 @@
     return ((InetSocketAddress) listener.getLocalAddress()).getPort();
   }
 
-  /** Stops accepting connections. Open connections are not closed. */
+  /**
+   * Accepts the clients that wait in the kernel's accept queue, then stops accepting connections.
+   * Open connections are not closed, but from now on each is closed after its next response, which
+   * says so. Blocks for a bounded time; must not be called on a selector thread.
+   */
   public void stopListening() {
+    stopping = true;
+    if (listener == null) {
+      return;
+    }
+    ListenerCloser closer = new ListenerCloser(listener);
+    for (int attempt = 0; attempt < MAX_CLOSE_ATTEMPTS; attempt++) {
+      if (closer.close(CLOSE_ATTEMPT_TIMEOUT)) {
+        break;
+      }
+    }
+    closeListener();
+  }
+
+  private void closeListener() {
     if (listener != null) {
       listener.closeSilently();
       listener = null;
     }
   }
 
-  /** Stops accepting connections and closes all open connections. */
+  /** Stops accepting connections and closes all open connections, all at once. */
   @Override
   public void close() {
-    stopListening();
+    closeListener();
     if (sweeper != null) {
       sweeper.close();
     }
--- a/src/main/java/switchgap/net/RequestAssemblyFilter.java
+++ b/src/main/java/switchgap/net/RequestAssemblyFilter.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -25,16 +26,19 @@
   private final Set<Connection<?>> openConnections;
   private final HttpServerLimits limits;
   private final HttpServer.RequestHandler handler;
+  private final BooleanSupplier keepAlive;
 
   RequestAssemblyFilter(
       Attribute<ServerConnectionState> states,
       Set<Connection<?>> openConnections,
       HttpServerLimits limits,
-      HttpServer.RequestHandler handler) {
+      HttpServer.RequestHandler handler,
+      BooleanSupplier keepAlive) {
     this.states = states;
     this.openConnections = openConnections;
     this.limits = limits;
     this.handler = handler;
+    this.keepAlive = keepAlive;
   }
 
   @Override
@@ -95,7 +99,7 @@
   private void startExchange(
       Connection<?> connection, HttpRequestPacket request, ServerConnectionState state) {
     HttpExchange exchange =
-        new HttpExchange(connection, request, state.body().take(), state::exchangeEnded);
+        new HttpExchange(connection, request, state.body().take(), keepAlive, state::exchangeEnded);
     state.exchangeStarted(exchange);
     handler.handle(exchange);
   }
@@ -108,7 +112,7 @@
             + ",\"detail\":\"body larger than "
             + limits.maxBodyBytes()
             + " bytes\"}";
-    new HttpExchange(connection, request, NO_BODY, () -> {})
+    new HttpExchange(connection, request, NO_BODY, keepAlive, () -> {})
         .respond(
             PAYLOAD_TOO_LARGE,
             Map.of("Content-Type", "application/problem+json", "Connection", "close"),
