Test bed: ports stay reserved from the search until the programs have ended

Cause: LoopbackPorts bound free ports and released them; until the routers bound them seconds later, any socket that asked for any port could get them, the test bed's own workers among them. Fix: a socket that does not listen keeps each port bound. Linux gives it to nobody who asks for any port, and lets a program with SO_REUSEADDR bind it by its number, again after each restart.

--- a/src/main/java/switchgap/testbed/emulator/ConnectionPool.java
+++ b/src/main/java/switchgap/testbed/emulator/ConnectionPool.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import switchgap.net.ConnectFailure;
 import switchgap.net.HttpClientConnection;
 import switchgap.net.HttpClientConnector;
@@ -13,11 +15,14 @@
  * Used only on the scheduler's thread.
  */
 final class ConnectionPool {
+  private static final Logger LOG = LoggerFactory.getLogger(ConnectionPool.class);
+
   private final Scheduler scheduler;
   private final HttpClientConnector connector;
   private final InetSocketAddress server;
   private final Duration connectTimeout;
   private final ArrayDeque<HttpClientConnection> idleConnections = new ArrayDeque<>();
+  private boolean hasFailed;
 
   ConnectionPool(
       Scheduler scheduler,
@@ -54,11 +59,22 @@
 
           @Override
           public void failed(ConnectFailure failure) {
-            scheduler.post(onFailure);
+            scheduler.post(
+                () -> {
+                  logFirst(failure);
+                  onFailure.run();
+                });
           }
         });
   }
 
+  private void logFirst(ConnectFailure failure) {
+    if (!hasFailed) {
+      LOG.warn("first failed connect to {}: {} {}", server, failure.reason(), failure.detail());
+    }
+    hasFailed = true;
+  }
+
   /** Returns a connection to the pool. */
   void release(HttpClientConnection connection) {
     idleConnections.addFirst(connection);
--- a/src/main/java/switchgap/testbed/experiment/SpeedMeasurement.java
+++ b/src/main/java/switchgap/testbed/experiment/SpeedMeasurement.java
@@ -60,11 +60,13 @@
       throws IOException, InterruptedException {
     Path directory = Files.createTempDirectory("switchgap-speed");
     List<Process> childProcesses = new ArrayList<>();
-    try (NetworkTransport network = new NetworkTransport(SELECTORS, "lab")) {
+    try (NetworkTransport network = new NetworkTransport(SELECTORS, "lab");
+        LoopbackPorts ports = LoopbackPorts.reserve(2)) {
       int[] workerPorts = startWorkers(network);
-      int[] relayAndRouterPorts = LoopbackPorts.findFree(2);
+      int relayPort = ports.get(0);
+      int routerPort = ports.get(1);
       Path config = directory.resolve("router.yaml");
-      Files.writeString(config, routerConfig(relayAndRouterPorts[1], workerPorts));
+      Files.writeString(config, routerConfig(routerPort, workerPorts));
       childProcesses.add(
           ChildProcess.start(
               directory.resolve("relay.log"),
@@ -73,19 +75,16 @@
                   "benchmark",
                   "relay",
                   "--port",
-                  String.valueOf(relayAndRouterPorts[0]),
+                  String.valueOf(relayPort),
                   "--workers",
                   commaSeparated(workerPorts))));
       childProcesses.add(
           ChildProcess.start(
               directory.resolve("router.log"), JVM_OPTIONS, List.of("router", config.toString())));
-      LoopbackPorts.awaitListening(relayAndRouterPorts[0]);
-      LoopbackPorts.awaitListening(relayAndRouterPorts[1]);
+      LoopbackPorts.awaitListening(relayPort);
+      LoopbackPorts.awaitListening(routerPort);
       Targets targets =
-          new Targets(
-              addresses(workerPorts),
-              addresses(relayAndRouterPorts[0]),
-              addresses(relayAndRouterPorts[1]));
+          new Targets(addresses(workerPorts), addresses(relayPort), addresses(routerPort));
       measureClosedLoop(network, targets, connections, duration, out);
       measureOpenLoop(network, targets, requestsPerSecond, duration, out);
     } finally {
--- a/src/main/java/switchgap/testbed/process/LoopbackPorts.java
+++ b/src/main/java/switchgap/testbed/process/LoopbackPorts.java
@@ -1,35 +1,61 @@
 package switchgap.testbed.process;
 
 import java.io.IOException;
-import java.net.ServerSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 
-/** Finds free ports for programs under test and waits until a program listens. Thread-safe. */
-public final class LoopbackPorts {
+/**
+ * Ports of the loopback address that are reserved for programs under test, until they are released.
+ * Each is bound by a socket that does not listen. Linux gives such a port to no other socket that
+ * asks for any free port, neither to listen nor to connect, but lets a program bind it by its
+ * number and listen if the program sets SO_REUSEADDR.
+ */
+public final class LoopbackPorts implements AutoCloseable {
   private static final long LISTEN_TIMEOUT_NANOS = 15_000_000_000L;
   private static final long POLL_PERIOD_MILLIS = 20;
 
+  private final List<Socket> reservations = new ArrayList<>();
+
   private LoopbackPorts() {}
 
   /**
-   * Finds free ports. All are bound until the last one is found, so that no two are the same; then
-   * all are released, and another process may take one before the caller uses it.
+   * Reserves free ports.
    *
    * @throws IOException if a port can't be bound
    */
-  public static int[] findFree(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
+  public static LoopbackPorts reserve(int count) throws IOException {
+    LoopbackPorts ports = new LoopbackPorts();
     try {
       for (int i = 0; i < count; i++) {
-        sockets.add(new ServerSocket(0));
-      }
-      return sockets.stream().mapToInt(ServerSocket::getLocalPort).toArray();
-    } finally {
-      for (ServerSocket socket : sockets) {
-        socket.close();
+        ports.reserveNext();
       }
+    } catch (IOException e) {
+      ports.close();
+      throw e;
+    }
+    return ports;
+  }
+
+  private void reserveNext() throws IOException {
+    Socket reservation = new Socket();
+    reservations.add(reservation);
+    reservation.setReuseAddress(true);
+    reservation.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  }
+
+  /** Returns a reserved port by its index. */
+  public int get(int index) {
+    return reservations.get(index).getLocalPort();
+  }
+
+  /** Releases the ports. Programs that listen at them are not affected. */
+  @Override
+  public void close() throws IOException {
+    for (Socket reservation : reservations) {
+      reservation.close();
     }
   }
 
--- a/src/main/java/switchgap/testbed/scenario/RouterGroup.java
+++ b/src/main/java/switchgap/testbed/scenario/RouterGroup.java
@@ -4,7 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -13,26 +12,24 @@
 import switchgap.testbed.process.LoopbackPorts;
 
 /** The routers of a test bed, with their configurations and ports. */
-final class RouterGroup {
+final class RouterGroup implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(RouterGroup.class);
   private static final long STOP_TIMEOUT_MILLIS = 9000;
 
   private final Scenario scenario;
   private final Path directory;
-  private final int[] routerPorts;
-  private final int[] plannerPorts;
+  private final LoopbackPorts routerPorts;
+  private final LoopbackPorts plannerPorts;
+  private final boolean ownPlanners;
   private final List<RouterHost> hosts = new ArrayList<>();
 
-  /** Finds free ports for the routers and planners; their files are written to the directory. */
+  /** Reserves ports for the routers and planners; their files are written to the directory. */
   RouterGroup(Scenario scenario, Path directory) throws IOException {
     this.scenario = scenario;
     this.directory = directory;
-    boolean ownPlanners = scenario.settings().routers().ownPlanners();
-    int count = scenario.routerCount();
-    // One call for all ports: two separate calls could return the same port twice.
-    int[] freePorts = LoopbackPorts.findFree(ownPlanners ? 2 * count : count);
-    routerPorts = Arrays.copyOf(freePorts, count);
-    plannerPorts = Arrays.copyOfRange(freePorts, count, freePorts.length);
+    ownPlanners = scenario.settings().routers().ownPlanners();
+    routerPorts = LoopbackPorts.reserve(scenario.routerCount());
+    plannerPorts = LoopbackPorts.reserve(ownPlanners ? scenario.routerCount() : 0);
   }
 
   /** Writes the configuration of the next router and creates its host, without starting it. */
@@ -41,14 +38,13 @@
     Path config = directory.resolve("router-" + index + ".yaml");
     Path log = directory.resolve("router-" + index + ".log");
     Files.deleteIfExists(log);
-    boolean ownPlanner = plannerPorts.length > 0;
     Map<String, String> overrides =
-        ownPlanner ? Map.of("planner.port", String.valueOf(plannerPorts[index])) : Map.of();
+        ownPlanners ? Map.of("planner.port", String.valueOf(plannerPorts.get(index))) : Map.of();
     Files.writeString(
-        config, scenario.routerConfig(index, routerPorts[index], listPort, catalogue, overrides));
+        config, scenario.routerConfig(index, port(index), listPort, catalogue, overrides));
     hosts.add(
         scenario.settings().routers().ownProcesses()
-            ? new RouterProcess(config, log, baseline, ownPlanner)
+            ? new RouterProcess(config, log, baseline, ownPlanners)
             : new InProcessRouter(config));
   }
 
@@ -65,7 +61,7 @@
   }
 
   int port(int router) {
-    return routerPorts[router];
+    return routerPorts.get(router);
   }
 
   /**
@@ -74,8 +70,8 @@
    * @throws IOException if a router does not listen within the timeout or has ended
    */
   void awaitListening() throws IOException {
-    for (int i = 0; i < routerPorts.length; i++) {
-      LoopbackPorts.awaitListening(routerPorts[i]);
+    for (int i = 0; i < hosts.size(); i++) {
+      LoopbackPorts.awaitListening(port(i));
       if (!hosts.get(i).isRunning()) {
         throw new IOException(
             "router " + i + " ended during start-up; see its log in " + directory);
@@ -122,11 +118,22 @@
     }
   }
 
-  /** Kills all routers and planners without a graceful shutdown. */
-  void kill() {
+  /** Kills all routers and planners without a graceful shutdown, and releases their ports. */
+  @Override
+  public void close() {
     for (RouterHost host : hosts) {
       host.kill();
       host.killPlanner();
     }
+    releasePorts();
+  }
+
+  private void releasePorts() {
+    try {
+      routerPorts.close();
+      plannerPorts.close();
+    } catch (IOException e) {
+      LOG.warn("ports could not be released", e);
+    }
   }
 }
--- a/src/main/java/switchgap/testbed/scenario/TestBed.java
+++ b/src/main/java/switchgap/testbed/scenario/TestBed.java
@@ -187,7 +187,7 @@
 
   @Override
   public void close() {
-    routers.kill();
+    routers.close();
     fleet.kill();
     endpointList.close();
     storeService.close();
--- a/src/main/java/switchgap/testbed/soak/Soak.java
+++ b/src/main/java/switchgap/testbed/soak/Soak.java
@@ -121,9 +121,10 @@
     Thread killRoutersHook = new Thread(() -> routers.forEach(ServeProcess::killIfStarted));
     // Without the hook, routers would outlive a soak run that is interrupted.
     Runtime.getRuntime().addShutdownHook(killRoutersHook);
-    try (EmulatedFleet fleet = new EmulatedFleet(WORKER_COUNT, records, timers);
+    try (LoopbackPorts ports = LoopbackPorts.reserve(options.routers);
+        EmulatedFleet fleet = new EmulatedFleet(WORKER_COUNT, records, timers);
         EventStreamEmulator eventStream = new EventStreamEmulator(fleet.events())) {
-      startRouters(fleet, eventStream);
+      startRouters(ports, fleet, eventStream);
       startClients();
       injectFaults(
           faults,
@@ -151,19 +152,19 @@
     return isCrowd ? Math.max(CLIENTS_PER_ROUTER, perRouter) : CLIENTS_PER_ROUTER;
   }
 
-  private void startRouters(EmulatedFleet fleet, EventStreamEmulator eventStream)
+  private void startRouters(
+      LoopbackPorts ports, EmulatedFleet fleet, EventStreamEmulator eventStream)
       throws IOException, InterruptedException {
     ServeProcess.LaunchOptions launchOptions =
         new ServeProcess.LaunchOptions(
             options.runCommand, options.directory, SystemCallFaults.compile(options.directory));
     String settings = readSettings();
     long timeoutMicros = TimeUnit.MILLISECONDS.toMicros(maxTimeoutMillis());
-    int[] ports = LoopbackPorts.findFree(options.routers);
     for (int i = 0; i < options.routers; i++) {
       ServeProcess router =
           new ServeProcess(
               i,
-              ports[i],
+              ports.get(i),
               settings.formatted(options.routers, i, timeoutMicros, timeoutMicros),
               launchOptions,
               records);
--- a/src/test/java/switchgap/server/gateway/JvmWarmupTest.java
+++ b/src/test/java/switchgap/server/gateway/JvmWarmupTest.java
@@ -92,10 +92,11 @@
    */
   @Test
   void firstRejectionLoadsNoClassThatEncodesResponses(@TempDir Path directory) throws Exception {
-    int port = LoopbackPorts.findFree(2)[0];
     Path loadedClasses = directory.resolve("classes.log");
-    Process router = startRouterWithoutWorkers(directory, port, loadedClasses);
-    try {
+    Process router = null;
+    try (LoopbackPorts ports = LoopbackPorts.reserve(1)) {
+      int port = ports.get(0);
+      router = startRouterWithoutWorkers(directory, port, loadedClasses);
       LoopbackPorts.awaitListening(port);
       int classesAtStart = encoderClasses(loadedClasses).size();
       HttpRequest invocation =
@@ -109,7 +110,9 @@
       List<String> classes = encoderClasses(loadedClasses);
       assertThat(classes.subList(classesAtStart, classes.size())).isEmpty();
     } finally {
-      router.destroyForcibly().waitFor();
+      if (router != null) {
+        router.destroyForcibly().waitFor();
+      }
     }
   }
 
