Gateway: answer bytes that start no request with 400 at once

Callers: GARBAGE\r\n\r\n got neither a response nor a close until the receive timeout (10 s); with a header behind it, the parser took "GARBAGE\r\nHost:" for the method. An empty line before a request became a part of its method. Cause: Grizzly's parser looks for the space behind the method beyond the end of the line.

--- a/src/main/java/switchgap/net/ServerConnectionState.java
+++ b/src/main/java/switchgap/net/ServerConnectionState.java
@@ -4,14 +4,15 @@
 
 /**
  * The state of one connection of an {@link HttpServer}: idle, receiving a request, or with a
- * pending exchange. The body is used only on the connection's selector thread. The volatile fields
- * are also used by the timer thread and by the threads that respond.
+ * pending exchange. The body and the scanner are used only on the connection's selector thread. The
+ * volatile fields are also used by the timer thread and by the threads that respond.
  */
 final class ServerConnectionState {
   /** Marks that no request is being received. */
   private static final long NOT_STARTED = 0;
 
   private final RequestBodyBuffer body = new RequestBodyBuffer();
+  private final RequestMethodScanner methodScanner = new RequestMethodScanner();
   private boolean discardingBody;
 
   /** The {@link System#nanoTime} at which the connection opened or its last exchange ended. */
@@ -54,6 +55,11 @@
     return body;
   }
 
+  /** Scans for the method of the request that is being received. */
+  RequestMethodScanner methodScanner() {
+    return methodScanner;
+  }
+
   /** Ignores the rest of the request that is being received. */
   void discardBody() {
     discardingBody = true;
@@ -67,6 +73,7 @@
   void exchangeStarted(HttpExchange exchange) {
     pendingExchange = exchange;
     requestStartedNanos = NOT_STARTED;
+    methodScanner.reset();
   }
 
   /** Records that the exchange has its response or that its client disconnected. */
