ListenerCloser: a closed listener counts as closed; short waits in the shutdown

Read while the soak ran: after a failed selectNow or an earlier close, each further call failed on the closed channel, so that the shutdown went on listening for nothing; and a wait of 200 ms for a stuck selector thread could carry the failing of pending requests (250 ms before SIGKILL) past the kill. TcpServerStopTest.reportsThatAClosedServerHasStopped holds the first; the wait is 20 ms, as the next check waits again.

--- a/src/main/java/switchgap/net/ListenerCloser.java
+++ b/src/main/java/switchgap/net/ListenerCloser.java
@@ -80,18 +80,23 @@
 
   private void runStep(Selector eventLoopSelector, CompletableFuture<Boolean> result) {
     try {
-      boolean isEmpty = acceptWaitingClients();
-      if (isEmpty) {
-        listener.terminateSilently();
-        // The JDK closes a registered socket only when its selector is next used.
-        eventLoopSelector.selectNow();
-      }
-      result.complete(isEmpty);
+      boolean isClosed = !listener.isOpen() || closeIfNoClientWaits(eventLoopSelector);
+      result.complete(isClosed);
     } catch (IOException | RuntimeException e) {
       result.completeExceptionally(e);
     }
   }
 
+  private boolean closeIfNoClientWaits(Selector eventLoopSelector) throws IOException {
+    boolean isEmpty = acceptWaitingClients();
+    if (isEmpty) {
+      listener.terminateSilently();
+      // The JDK closes a registered socket only when its selector is next used.
+      eventLoopSelector.selectNow();
+    }
+    return isEmpty;
+  }
+
   /** Returns whether no client waits any more; false if some may still be waiting. */
   private boolean acceptWaitingClients() throws IOException {
     AcceptStall stall = AcceptStall.of(listener);
--- a/src/main/java/switchgap/server/platform/PlatformRouter.java
+++ b/src/main/java/switchgap/server/platform/PlatformRouter.java
@@ -29,7 +29,9 @@
 final class PlatformRouter implements EventStreamListener, AutoCloseable {
   private static final int MAX_EVENT_STREAM_BODY_BYTES = 1 << 16;
   private static final Duration EVENT_LOOP_TIMEOUT = Duration.ofSeconds(2);
-  private static final Duration SELECTOR_THREAD_TIMEOUT = Duration.ofMillis(200);
+
+  /** Short, because a shutdown has other work to do in time and tries again. */
+  private static final Duration SELECTOR_THREAD_TIMEOUT = Duration.ofMillis(20);
 
   private final RateLimitedLog log;
   private final RouterDiagnostics diagnostics;
--- a/src/test/java/switchgap/net/TcpServerStopTest.java
+++ b/src/test/java/switchgap/net/TcpServerStopTest.java
@@ -138,6 +138,16 @@
     }
   }
 
+  @Test
+  void reportsThatAClosedServerHasStopped() throws Exception {
+    try (NetworkTransport transport = new NetworkTransport(1, "stop")) {
+      TcpServer server = TcpServer.listen(transport, "127.0.0.1", 0, 128, listener);
+      server.close();
+      assertThat(server.stopAccepting(Duration.ofSeconds(2))).isTrue();
+      assertThat(server.stopAccepting(Duration.ofSeconds(2))).isTrue();
+    }
+  }
+
   private static boolean refusesConnections(int port) {
     try (Socket client = connect(port)) {
       return false;
