--- a/src/main/java/switchgap/testbed/soak/LostRequestCheck.java
+++ b/src/main/java/switchgap/testbed/soak/LostRequestCheck.java
@@ -58,9 +58,16 @@
             + " lost its connection "
             + CheckTolerances.toMillis(request.endedNanos() - request.sentNanos())
             + " ms after it was sent"
-            + (request.isFirstOnConnection()
-                ? "; it was the first request on the connection"
-                : ""));
+            + (request.isFirstOnConnection() ? "; it was the first request on the connection" : "")
+            + describeFailingAccepts(request));
+  }
+
+  /** States for how long accepts failed while the request was open; empty if they did not. */
+  private String describeFailingAccepts(ObservedRequest request) {
+    long failingNanos = outageNanos(OutageCause.ACCEPT_FAILING, request);
+    return failingNanos == 0
+        ? ""
+        : "; accepts failed for " + CheckTolerances.toMillis(failingNanos) + " ms of that time";
   }
 
   private void checkLateness(ObservedRequest request, String subject) {
