Review, case 3: a keyed request is sent again after the servers have forgotten it

Cause: the window of RetryPolicy.isRepeatableAt is checked when an attempt is decided and not when it is written, which may be later by the wait for a connection. Change: the case with its claim and its test; nothing of the program.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+here=$(cd "$(dirname "$0")" && pwd)
+exec "$here/../run-case.sh" "$here" Twice
