Review: each run.sh reads TROUBLE and passes it on

Cause: TROUBLE was read only by the test program that run.sh starts, so the scripts themselves did not show it. Change: run.sh reads TROUBLE (1 if unset) and hands it to run-case.sh, which hands it to the test; the first line of record.txt says whether the disruption is part of the run.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,5 @@
 #!/bin/sh
+# Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../run-case.sh" "$here" Twice
+TROUBLE="${TROUBLE:-1}"
+exec "$here/../run-case.sh" Twice "$here/record.txt" "$TROUBLE"
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -31,8 +31,8 @@
 final class Rig {
   private Rig() {}
 
-  /** Whether the disruption is part of the run. */
-  static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+  /** Whether the disruption is part of the run; run.sh passes on TROUBLE of its environment. */
+  static final boolean TROUBLE = !"0".equals(System.getProperty("trouble"));
 
   static final int HELD = 0;
   static final int BROKEN = 1;
@@ -82,6 +82,7 @@
 
     Recorder(Path file) throws IOException {
       out = new PrintWriter(Files.newBufferedWriter(file, StandardCharsets.ISO_8859_1), false);
+      line(TROUBLE ? "with the disruption" : "without the disruption");
     }
 
     void line(String format, Object... arguments) {
