Clients: queue requests per connection in turns, and pause reading past a share

Callers saw: 120 connections that send small requests at full speed; usual clients get no answers for seconds, then the router exits with 3 for lack of heap.

Cause: the bound on messages that wait for the event loop counted the bytes of frames, while decoded messages waited.

Change: a submit waits as its frame. Each connection has its own queue, of which the event loop takes turns, at most 512 messages a round. Reading pauses on a connection whose queued messages and unsent replies exceed what is free of a sixteenth of the heap (dynamic threshold), counted in heap bytes, and resumes once it holds none; nothing is rejected or closed for the queue's sake. Requests in flight and their bodies are shared by the same rule. It works because memory is bounded where it is taken, in its own unit, and the account is freed with it.

Related paths: revokes closed their connection past 256 and now pause reading as well; unread replies were bounded for each connection only.

--- a/src/main/java/switchgap/net/SocketFilter.java
+++ b/src/main/java/switchgap/net/SocketFilter.java
@@ -26,10 +26,22 @@
   private static final ThreadLocal<ByteBuffer> READ_BUFFER =
       ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(NetworkTransport.READ_BUFFER_BYTES));
 
+  private final int maxReadBytes;
+
+  /** Creates a filter whose reads are limited only by the size of the read buffer. */
+  SocketFilter() {
+    this(NetworkTransport.READ_BUFFER_BYTES);
+  }
+
+  /** Creates a filter that reads at most {@code maxReadBytes} at a time. */
+  SocketFilter(int maxReadBytes) {
+    this.maxReadBytes = Math.min(maxReadBytes, NetworkTransport.READ_BUFFER_BYTES);
+  }
+
   @Override
   public NextAction handleRead(FilterChainContext context) throws IOException {
     Connection<?> connection = context.getConnection();
-    ByteBuffer target = READ_BUFFER.get().clear();
+    ByteBuffer target = READ_BUFFER.get().clear().limit(maxReadBytes);
     int count = readFrom(connection, target);
     if (count < 0) {
       connection.terminateSilently();
--- a/src/main/java/switchgap/net/TcpConnection.java
+++ b/src/main/java/switchgap/net/TcpConnection.java
@@ -1,13 +1,16 @@
 package switchgap.net;
 
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.asyncqueue.WritableMessage;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -31,6 +34,9 @@
     /** Bytes arrived; the buffer is valid only until this method returns. */
     void received(TcpConnection connection, ByteBuffer bytes);
 
+    /** All bytes of one call of {@link #send} have been written. Runs on any thread. */
+    default void written(TcpConnection connection, int byteCount) {}
+
     /** The connection was closed by this side or by the peer. */
     void closed(TcpConnection connection, CloseCause cause);
   }
@@ -135,6 +141,7 @@
           public void completed(WriteResult<WritableMessage, SocketAddress> result) {
             unsentBytes.addAndGet(-bytes.length);
             unsentWrites.decrementAndGet();
+            listener.written(TcpConnection.this, bytes.length);
           }
 
           @Override
@@ -145,6 +152,28 @@
     return true;
   }
 
+  /**
+   * Stops reading, so that the peer's bytes stay in the kernel and its writes block once the
+   * buffers are full. While reading is paused, a close by the peer is not noticed. Must be called
+   * only from {@link Listener#received}.
+   */
+  public void pauseReading() {
+    try {
+      connection.disableIOEvent(IOEvent.READ);
+    } catch (IOException | CancelledKeyException e) {
+      return; // The connection is closed.
+    }
+  }
+
+  /** Resumes reading after {@link #pauseReading}. Can be called on any thread. */
+  public void resumeReading() {
+    try {
+      connection.enableIOEvent(IOEvent.READ);
+    } catch (IOException | CancelledKeyException e) {
+      return; // The connection is closed.
+    }
+  }
+
   /**
    * Closes the connection unless it is already closed, and passes the reason to the listener. Can
    * be called on any thread.
@@ -166,6 +195,11 @@
 
   /** Returns the filter chain of plain TCP connections, for clients and servers. */
   static FilterChain filterChain(TcpConnectionFilter filter) {
-    return FilterChainBuilder.stateless().add(new SocketFilter()).add(filter).build();
+    return filterChain(new SocketFilter(), filter);
+  }
+
+  /** Returns a filter chain that reads and writes through the given socket filter. */
+  static FilterChain filterChain(SocketFilter socketFilter, TcpConnectionFilter filter) {
+    return FilterChainBuilder.stateless().add(socketFilter).add(filter).build();
   }
 }
--- a/src/main/java/switchgap/net/TcpServer.java
+++ b/src/main/java/switchgap/net/TcpServer.java
@@ -35,9 +35,25 @@
       int backlog,
       TcpConnection.Listener listener)
       throws IOException {
+    return listen(transport, host, port, backlog, NetworkTransport.READ_BUFFER_BYTES, listener);
+  }
+
+  /**
+   * Starts to accept connections whose reads are limited to {@code maxReadBytes} each; see {@link
+   * #listen(NetworkTransport, String, int, int, TcpConnection.Listener)}.
+   */
+  public static TcpServer listen(
+      NetworkTransport transport,
+      String host,
+      int port,
+      int backlog,
+      int maxReadBytes,
+      TcpConnection.Listener listener)
+      throws IOException {
+    SocketFilter socketFilter = new SocketFilter(maxReadBytes);
     TCPNIOBindingHandler binding =
         TCPNIOBindingHandler.builder(transport.transport)
-            .processor(TcpConnection.filterChain(new TcpConnectionFilter(listener)))
+            .processor(TcpConnection.filterChain(socketFilter, new TcpConnectionFilter(listener)))
             .build();
     return new TcpServer(binding.bind(new InetSocketAddress(host, port), backlog));
   }
--- a/src/main/java/switchgap/protocol/thrift/ClientCloseReason.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientCloseReason.java
@@ -18,11 +18,6 @@
   UNREADABLE_MESSAGE("unreadable message", true),
   /** The client sent a reply; only the router may. */
   REPLY_FROM_CLIENT("reply from a client", true),
-  /**
-   * Too many messages of the connection are queued for the event loop, and the latest one has no
-   * reply that could reject it.
-   */
-  QUEUE_OVERFLOW("too many queued messages", true),
   /**
    * A request reuses the sequence id of one in flight, so their replies could not be told apart.
    */
--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -15,14 +14,16 @@
 import switchgap.router.PendingRequest;
 
 /**
- * A client connection. The selector thread decodes its frames and counts the messages that it
- * queues; the requests in flight belong to the event loop. Fields that both threads use are
- * volatile or concurrent.
+ * A client connection. The selector thread reads its frames and queues messages; the requests in
+ * flight belong to the event loop. Fields that both threads use are volatile or concurrent.
  */
 final class ClientConnection {
   /** Value of {@link #firstReadReceivedAt} if the bytes of the first read had not waited. */
   private static final Duration NO_EARLIER_BOUND = Duration.ofSeconds(Long.MAX_VALUE);
 
+  /** Upper bound for the heap that the transport's records of an unsent reply hold. */
+  private static final int UNSENT_REPLY_OVERHEAD_BYTES = 320;
+
   private final TcpConnection connection;
   private final Supplier<Duration> clock;
   private final int maxUnsentBytes;
@@ -31,7 +32,14 @@
   /** Requests in flight by sequence id. Event loop only. */
   private final Map<Integer, PendingRequest> inFlight = new HashMap<>();
 
-  private final AtomicInteger queuedMessages = new AtomicInteger();
+  /** Heap of the queued messages and of the unsent replies. */
+  private final SharedCapacity.Share heap;
+
+  private final ClientMessageQueue messageQueue;
+  private final ReadFlowControl flowControl;
+
+  /** Bytes of the bodies of the requests in flight. Event loop only. */
+  private int bodyBytesInFlight;
 
   /**
    * Times at which the selector thread read revokes that the event loop has not handled yet, by the
@@ -55,13 +63,22 @@
    *
    * @param clock returns the time since the router's start
    * @param maxUnsentBytes maximum number of reply bytes that the client may leave unread
+   * @param heap the connection's share of the heap for queued messages and unsent replies
    */
-  ClientConnection(TcpConnection connection, Supplier<Duration> clock, int maxUnsentBytes) {
+  ClientConnection(
+      TcpConnection connection,
+      Supplier<Duration> clock,
+      int maxUnsentBytes,
+      SharedCapacity.Share heap) {
     this.connection = connection;
     this.maxUnsentBytes = maxUnsentBytes;
     this.clock = clock;
+    this.heap = heap;
     Duration openedAt = clock.get();
     receiver = new MessageReceiver(openedAt);
+    messageQueue = new ClientMessageQueue(heap);
+    flowControl =
+        new ReadFlowControl(connection, heap, clock, () -> receiver.restartDueTime(clock.get()));
     lastActiveNanos = openedAt.toNanos();
   }
 
@@ -85,14 +102,41 @@
     if (connection.unsentBytes() > maxUnsentBytes) {
       close(ClientCloseReason.REPLIES_UNREAD);
     } else {
-      connection.send(reply);
+      sendCounted(reply);
       lastActiveNanos = clock.get().toNanos();
     }
   }
 
   /** Sends a reply regardless of unsent bytes; the caller closes the connection right after it. */
   void sendBeforeClose(byte[] reply) {
-    connection.send(reply);
+    sendCounted(reply);
+  }
+
+  private void sendCounted(byte[] reply) {
+    heap.add(unsentHeapBytes(reply.length));
+    if (!connection.send(reply)) {
+      heap.subtract(unsentHeapBytes(reply.length));
+    }
+  }
+
+  /** Records that a reply of this length has been written to the socket. */
+  void replyWritten(int byteCount) {
+    heap.subtract(unsentHeapBytes(byteCount));
+    flowControl.resumeIfDrained();
+  }
+
+  private static int unsentHeapBytes(int replyBytes) {
+    return UNSENT_REPLY_OVERHEAD_BYTES + replyBytes;
+  }
+
+  /** Closes the connection after a message that could not be decoded, with a reply if possible. */
+  void closeMalformed(MalformedMessageException cause) {
+    if (cause.method() != null) {
+      sendBeforeClose(
+          ThriftResponseEncoder.protocolError(
+              cause.method(), cause.sequenceId(), cause.getMessage()));
+    }
+    close(ClientCloseReason.UNREADABLE_MESSAGE);
   }
 
   /** Whether reply bytes are still waiting to be written to the socket. */
@@ -105,19 +149,14 @@
     return closedAt;
   }
 
-  /** Number of messages that are queued for the event loop. */
-  int queuedMessages() {
-    return queuedMessages.get();
-  }
-
-  /** Counts a message that is about to be queued for the event loop; returns the new number. */
-  int messageQueued() {
-    return queuedMessages.incrementAndGet();
+  /** The messages that wait for the event loop. */
+  ClientMessageQueue messageQueue() {
+    return messageQueue;
   }
 
-  /** Decrements the count after a queued message has reached the event loop or was rejected. */
-  void messageDequeued() {
-    queuedMessages.decrementAndGet();
+  /** Pauses and resumes reading from the connection. */
+  ReadFlowControl flowControl() {
+    return flowControl;
   }
 
   /** Whether a revoke of the request has been read but not handled yet. */
@@ -135,14 +174,15 @@
   /**
    * Returns the earliest time at which the bytes of the current read may have arrived. If the bytes
    * of the first read had waited in the kernel, the rest of the first message may have waited as
-   * long, even if it is read in several parts.
+   * long, even if it is read in several parts. So may the bytes that are read after a pause.
    *
    * @param receivedAt the earliest arrival time that follows from this read alone
    * @param receiveDelay the maximum time that the bytes of this read may have waited
+   * @param isReadEmpty whether this read leaves no bytes in the socket
    */
-  Duration earliestReceivedAt(Duration receivedAt, Duration receiveDelay) {
+  Duration earliestReceivedAt(Duration receivedAt, Duration receiveDelay, boolean isReadEmpty) {
     if (receiver.hasReceivedMessage()) {
-      return receivedAt;
+      return flowControl.earliestReceivedAt(receivedAt, isReadEmpty);
     }
     if (firstReadReceivedAt == null) {
       firstReadReceivedAt = receiveDelay.isZero() ? NO_EARLIER_BOUND : receivedAt;
@@ -170,9 +210,10 @@
     return isEvicting;
   }
 
-  /** Records the time at which the close of the connection was detected. */
+  /** Records the time at which the close of the connection was detected, and frees its heap. */
   void connectionClosed() {
     closedAt = clock.get();
+    heap.release();
   }
 
   // ------------------------------------------------------------------ event loop only
@@ -180,15 +221,19 @@
   /** Adds a request of this connection to those in flight. */
   void requestAdded(int sequenceId, PendingRequest request) {
     inFlight.put(sequenceId, request);
+    bodyBytesInFlight += request.body().length;
   }
 
   /** Removes and returns the request in flight with this sequence id, or null if none has it. */
   PendingRequest requestRemoved(int sequenceId) {
-    return inFlight.remove(sequenceId);
+    PendingRequest request = inFlight.remove(sequenceId);
+    bodyBytesInFlight -= request == null ? 0 : request.body().length;
+    return request;
   }
 
   void allRequestsRemoved() {
     inFlight.clear();
+    bodyBytesInFlight = 0;
   }
 
   boolean hasRequestInFlight(int sequenceId) {
@@ -199,6 +244,11 @@
     return inFlight.size();
   }
 
+  /** Bytes of the bodies of the requests in flight. */
+  int bodyBytesInFlight() {
+    return bodyBytesInFlight;
+  }
+
   /** Visits each request in flight with its sequence id; the visitor must not add or remove any. */
   void forEachRequest(BiConsumer<Integer, PendingRequest> visitor) {
     inFlight.forEach(visitor);
@@ -238,7 +288,7 @@
 
   /** Whether no request is in flight, queued for the event loop or partially received. */
   boolean isIdle() {
-    return inFlight.isEmpty() && queuedMessages.get() == 0 && !receiver.hasPartialMessage();
+    return inFlight.isEmpty() && messageQueue.size() == 0 && !receiver.hasPartialMessage();
   }
 
   /** Whether a request is in flight, queued or partially received, or a reply is unwritten. */
@@ -261,9 +311,12 @@
     return now.toNanos() - lastActiveNanos > minDuration.toNanos();
   }
 
-  /** Whether a message is due for longer than the timeout, excluding stalls of the process. */
+  /**
+   * Whether a message is due for longer than the timeout, excluding stalls of the process and
+   * pauses of reading.
+   */
   boolean isReceiveOverdue(Duration now, Duration timeout, StallHistory stalls) {
-    return receiver.isOverdue(now, timeout, stalls);
+    return !flowControl.isPaused() && receiver.isOverdue(now, timeout, stalls);
   }
 
   /** Time of the connect, the last handled message or the last reply sent, whichever is latest. */
--- a/src/main/java/switchgap/protocol/thrift/ClientConnectionLimits.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnectionLimits.java
@@ -9,8 +9,9 @@
  * @param maxExcessConnections number of connections that may be open beyond {@code maxConnections}
  *     until the event loop has evicted idle ones
  * @param maxUnsentBytes maximum bytes of unsent replies of one connection
- * @param maxRequestBytes maximum bytes of all messages queued for the event loop; the same limit
- *     applies separately to the bodies of all requests in flight
+ * @param maxRequestBytes heap in bytes that connections share for the messages that are queued for
+ *     the event loop and for unsent replies; reading pauses on a connection that exceeds its share.
+ *     The same limit applies separately to the bodies of all requests in flight
  * @param maxRequests maximum number of requests in flight
  * @param receiveTimeout maximum time to receive a connection's first message, and the rest of any
  *     partial message
--- a/src/main/java/switchgap/protocol/thrift/InFlightRequests.java
+++ b/src/main/java/switchgap/protocol/thrift/InFlightRequests.java
@@ -6,8 +6,9 @@
 
 /**
  * The requests that were offered to the core and have no response yet, with limits on their number
- * and on the bytes of their bodies. An id is in flight at most once, on one connection. Event loop
- * only.
+ * and on the bytes of their bodies. A connection may use at most as much of each limit as remains
+ * free, so that none can use up what the others need; see {@link SharedCapacity}. An id is in
+ * flight at most once, on one connection. Event loop only.
  */
 final class InFlightRequests {
   private final int maxRequests;
@@ -29,9 +30,17 @@
     return connectionByRequestId.get(requestId);
   }
 
-  /** Whether the request fits within the limits. */
-  boolean hasCapacityFor(PendingRequest request) {
-    return size() < maxRequests && bodyBytes + request.body().length <= maxBodyBytes;
+  /** Whether the connection has as many requests in flight as may be added at all. */
+  boolean isShareUsedUp(ClientConnection connection) {
+    return connection.requestsInFlight() >= maxRequests - size();
+  }
+
+  /** Whether the request fits within the limits and the connection's share of them. */
+  boolean hasCapacityFor(ClientConnection connection, PendingRequest request) {
+    int bodyLength = request.body().length;
+    boolean hasSpaceForBody =
+        bodyLength == 0 || connection.bodyBytesInFlight() + bodyLength <= maxBodyBytes - bodyBytes;
+    return !isShareUsedUp(connection) && hasSpaceForBody;
   }
 
   void add(ReplyAddress address, PendingRequest request) {
--- a/src/main/java/switchgap/protocol/thrift/MessageReceiver.java
+++ b/src/main/java/switchgap/protocol/thrift/MessageReceiver.java
@@ -49,6 +49,16 @@
     dueSince = null;
   }
 
+  /**
+   * Restarts the time for which a message has been due. Must be called only while no bytes are
+   * being read.
+   */
+  void restartDueTime(Duration now) {
+    if (dueSince != null) {
+      dueSince = now;
+    }
+  }
+
   /** Whether a complete message has ever been received. */
   boolean hasReceivedMessage() {
     return hasReceivedMessage;
--- a/src/main/java/switchgap/protocol/thrift/RequestAdmission.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestAdmission.java
@@ -46,33 +46,38 @@
     isRejectingAll = true;
   }
 
-  /**
-   * Offers the submitted request to the core, or answers it.
-   *
-   * @param receivedAt earliest time at which the message may have arrived; the request's deadline
-   *     counts from it
-   */
-  void submit(RouterCore core, ReplyAddress address, ThriftMessage message, Duration receivedAt) {
+  /** Offers the submitted request to the core, or answers it. */
+  void submit(RouterCore core, ReplyAddress address, QueuedMessage.Submit submit) {
     ClientConnection connection = address.connection();
     int sequenceId = address.sequenceId();
-    if (connection.isRevoked(sequenceId)) {
-      dropRevoked(address, message, receivedAt);
-    } else if (connection.hasRequestInFlight(sequenceId)) {
-      connection.close(ClientCloseReason.DUPLICATE_SEQUENCE_ID);
-    } else if (connection.requestsInFlight() >= MAX_REQUESTS_PER_CONNECTION) {
-      responder.rejectUnadmitted(address, AnswerReason.TOO_MANY_OPEN);
-    } else {
-      decodeAndOffer(core, address, message, receivedAt);
+    try {
+      if (connection.isRevoked(sequenceId)) {
+        dropRevoked(address, submit);
+      } else if (connection.hasRequestInFlight(sequenceId)) {
+        connection.close(ClientCloseReason.DUPLICATE_SEQUENCE_ID);
+      } else if (hasTooManyInFlight(connection)) {
+        responder.rejectUnadmitted(address, AnswerReason.TOO_MANY_OPEN);
+      } else {
+        decodeAndOffer(core, address, submit);
+      }
+    } catch (MalformedMessageException e) {
+      connection.closeMalformed(e);
     }
   }
 
+  private boolean hasTooManyInFlight(ClientConnection connection) {
+    return connection.requestsInFlight() >= MAX_REQUESTS_PER_CONNECTION
+        || inFlight.isShareUsedUp(connection);
+  }
+
   /**
    * Drops a submit whose revoke is already queued. The submit is answered only if the revoke
    * arrived past the submit's deadline.
    */
-  private void dropRevoked(ReplyAddress address, ThriftMessage message, Duration receivedAt) {
+  private void dropRevoked(ReplyAddress address, QueuedMessage.Submit submit)
+      throws MalformedMessageException {
     try {
-      PendingRequest request = decode(address, message, receivedAt);
+      PendingRequest request = decode(address, submit);
       Duration revokedAt = address.connection().revokedAt(address.sequenceId());
       if (revokedAt != null && RequestCancellation.isAnswerRequired(request, revokedAt)) {
         responder.rejectRevokedLate(address, request);
@@ -82,10 +87,10 @@
     }
   }
 
-  private void decodeAndOffer(
-      RouterCore core, ReplyAddress address, ThriftMessage message, Duration receivedAt) {
+  private void decodeAndOffer(RouterCore core, ReplyAddress address, QueuedMessage.Submit submit)
+      throws MalformedMessageException {
     try {
-      PendingRequest request = decode(address, message, receivedAt);
+      PendingRequest request = decode(address, submit);
       diagnostics
           .events()
           .record(new RouterEvent.RequestReceived(request.id(), address.connection().id()));
@@ -96,9 +101,11 @@
     }
   }
 
-  private PendingRequest decode(ReplyAddress address, ThriftMessage message, Duration receivedAt)
-      throws InvalidSubmitException {
-    return SubmitRequestDecoder.decode(message, names, receivedAt, responder.listenerFor(address));
+  private PendingRequest decode(ReplyAddress address, QueuedMessage.Submit submit)
+      throws MalformedMessageException, InvalidSubmitException {
+    ThriftMessage message = ThriftMessageDecoder.decode(submit.frame());
+    return SubmitRequestDecoder.decode(
+        message, names, submit.receivedAt(), responder.listenerFor(address));
   }
 
   /**
@@ -123,7 +130,7 @@
       responder.reject(address, request, AnswerReason.SHUTDOWN, core.now());
       return;
     }
-    boolean hasCapacity = inFlight.hasCapacityFor(request);
+    boolean hasCapacity = inFlight.hasCapacityFor(address.connection(), request);
     inFlight.add(address, request); // must precede the offer, in which the core may respond
     if (hasCapacity && core.accept(request)) {
       return;
--- a/src/main/java/switchgap/protocol/thrift/RequestCancellation.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestCancellation.java
@@ -75,7 +75,7 @@
         .afterClose(
             connection.id(),
             reason.isClientFault(),
-            unanswered + connection.queuedMessages(),
+            unanswered + connection.messageQueue().submitCount(),
             core.now());
     diagnostics.events().record(new RouterEvent.ClientClosed(reason, connection.id(), unanswered));
     if (unanswered > 0) {
--- a/src/main/java/switchgap/protocol/thrift/RequestHandler.java
+++ b/src/main/java/switchgap/protocol/thrift/RequestHandler.java
@@ -1,6 +1,5 @@
 package switchgap.protocol.thrift;
 
-import java.time.Duration;
 import switchgap.router.AnswerReason;
 import switchgap.router.RouterCore;
 import switchgap.router.RouterDiagnostics;
@@ -28,25 +27,24 @@
     admission = new RequestAdmission(names, inFlight, responder, cancellation, diagnostics);
   }
 
-  /** Handles a submit or a revoke that arrived at the given time at the earliest. */
-  void messageReceived(
-      RouterCore core, ClientConnection connection, ThriftMessage message, Duration receivedAt) {
+  /** Handles a queued message, unless its connection was closed. */
+  void messageReceived(RouterCore core, ClientConnection connection, QueuedMessage message) {
     if (!connection.isOpen()) {
       return;
     }
     connection.messageHandledAt(core.now());
-    if (message.method().equals(WireNames.REVOKE)) {
-      ReplyAddress revoked = new ReplyAddress(connection, message.firstInteger());
-      cancellation.revoke(core, revoked, receivedAt);
-    } else {
-      ReplyAddress address = new ReplyAddress(connection, message.sequenceId());
-      admission.submit(core, address, message, receivedAt);
+    if (message instanceof QueuedMessage.Submit submit) {
+      admission.submit(core, new ReplyAddress(connection, submit.sequenceId()), submit);
+    } else if (message instanceof QueuedMessage.Revoke revoke) {
+      ReplyAddress revoked = new ReplyAddress(connection, revoke.revokedSequenceId());
+      cancellation.revoke(core, revoked, revoke.receivedAt());
     }
   }
 
-  /** Rejects a submit that does not fit into the event loop's queue. Callable on any thread. */
+  /** Rejects a submit that was read while its connection is being evicted. Selector thread. */
   void rejectUnqueued(ClientConnection connection, int sequenceId) {
-    responder.rejectUnadmitted(new ReplyAddress(connection, sequenceId), AnswerReason.QUEUE_FULL);
+    responder.rejectUnadmitted(
+        new ReplyAddress(connection, sequenceId), AnswerReason.CONNECTION_CLOSING);
   }
 
   /** Cancels the requests of a connection that was closed. */
--- a/src/main/java/switchgap/protocol/thrift/ThriftMessageDecoder.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftMessageDecoder.java
@@ -51,12 +51,23 @@
     return new ThriftMessageDecoder(frame).decode();
   }
 
+  /**
+   * Decodes only the header of a frame; the arguments may be malformed.
+   *
+   * @throws MalformedMessageException if the frame does not start with a header
+   */
+  static ThriftMessageHeader decodeHeader(byte[] frame) throws MalformedMessageException {
+    ThriftMessageDecoder decoder = new ThriftMessageDecoder(frame);
+    decoder.readHeader();
+    return new ThriftMessageHeader(decoder.type, decoder.method, decoder.sequenceId);
+  }
+
   private ThriftMessage decode() throws MalformedMessageException {
+    readHeader();
     try {
-      readHeader();
       readArguments();
     } catch (BufferUnderflowException e) {
-      throw malformed("ends too soon");
+      throw endsTooSoon();
     }
     if (buffer.hasRemaining()) {
       throw malformed(buffer.remaining() + " bytes behind the message");
@@ -65,6 +76,14 @@
   }
 
   private void readHeader() throws MalformedMessageException {
+    try {
+      readHeaderFields();
+    } catch (BufferUnderflowException e) {
+      throw endsTooSoon();
+    }
+  }
+
+  private void readHeaderFields() throws MalformedMessageException {
     int header = buffer.getInt();
     if ((header & VERSION_MASK) != STRICT_VERSION) {
       throw malformed("no strict binary message");
@@ -197,6 +216,10 @@
     buffer.position(buffer.position() + count);
   }
 
+  private MalformedMessageException endsTooSoon() {
+    return malformed("ends too soon");
+  }
+
   private MalformedMessageException malformed(String reason) {
     return new MalformedMessageException(reason, method, sequenceId);
   }
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -26,6 +26,9 @@
   /** Maximum number of connections that wait in the kernel to be accepted. */
   private static final int ACCEPT_BACKLOG = 512;
 
+  /** Maximum bytes of one read; the frames in it may be queued past the connection's share. */
+  static final int MAX_READ_BYTES = 4 << 10;
+
   /** Interval between evictions while there are too many connections. */
   private static final Duration EVICTION_INTERVAL = Duration.ofMillis(10);
 
@@ -39,6 +42,9 @@
   private final ClientMessageReader messageReader;
   private final StallDetector stallDetector;
 
+  /** Heap of the queued messages and unsent replies of all connections. */
+  private final SharedCapacity heap;
+
   /** Whether the next eviction is scheduled. Event loop only. */
   private boolean isEvictionScheduled;
 
@@ -71,7 +77,10 @@
     connections = new ClientConnectionTable(limits.maxConnections(), limits.receiveTimeout());
     NameDirectory names = new NameDirectory(settings, requestClasses, tenants);
     requestHandler = new RequestHandler(names, limits, connections, diagnostics);
-    messageReader = new ClientMessageReader(requestHandler, eventLoop, limits.maxRequestBytes());
+    messageReader =
+        new ClientMessageReader(
+            requestHandler, new ClientMessageScheduler(requestHandler, eventLoop));
+    heap = new SharedCapacity(limits.maxRequestBytes());
     stallDetector = new StallDetector(limits.sweepInterval(), clock.get());
   }
 
@@ -81,7 +90,7 @@
    * @param port the port, or 0 for any free port
    */
   public void listen(NetworkTransport net, String host, int port) throws IOException {
-    listener = TcpServer.listen(net, host, port, ACCEPT_BACKLOG, this);
+    listener = TcpServer.listen(net, host, port, ACCEPT_BACKLOG, MAX_READ_BYTES, this);
     acceptThrottle.listenerOpened(listener);
   }
 
@@ -123,7 +132,8 @@
 
   @Override
   public void opened(TcpConnection tcp) {
-    ClientConnection connection = new ClientConnection(tcp, clock, limits.maxUnsentBytes());
+    ClientConnection connection =
+        new ClientConnection(tcp, clock, limits.maxUnsentBytes(), heap.newShare());
     tcp.attach(connection);
     diagnostics.events().record(new RouterEvent.ClientConnected(tcp.id()));
     acceptThrottle.connectionOpened();
@@ -138,13 +148,22 @@
   public void received(TcpConnection tcp, ByteBuffer bytes) {
     ClientConnection connection = connectionOf(tcp);
     Duration receiveDelay = tcp.maxReceiveDelay();
+    boolean isReadEmpty = bytes.remaining() < MAX_READ_BYTES;
     Duration receivedAt =
-        connection.earliestReceivedAt(clock.get().minus(receiveDelay), receiveDelay);
+        connection.earliestReceivedAt(clock.get().minus(receiveDelay), receiveDelay, isReadEmpty);
     Consumer<byte[]> frameHandler =
         frame -> messageReader.frameReceived(connection, frame, receivedAt);
     if (!connection.receive(bytes, frameHandler, receivedAt)) {
       connection.close(ClientCloseReason.FRAME_OUT_OF_BOUNDS);
     }
+    if (connection.flowControl().pauseIfShareExceeded()) {
+      diagnostics.events().record(new RouterEvent.ClientReadingPaused(tcp.id()));
+    }
+  }
+
+  @Override
+  public void written(TcpConnection tcp, int byteCount) {
+    connectionOf(tcp).replyWritten(byteCount);
   }
 
   @Override
@@ -160,6 +179,11 @@
     return (ClientConnection) tcp.attachment();
   }
 
+  /** Heap in bytes that queued messages and unsent replies hold. Callable on any thread. */
+  public long queuedHeapBytes() {
+    return heap.used();
+  }
+
   // ------------------------------------------------------------------ event loop only
 
   /**
--- a/src/main/java/switchgap/router/AnswerReason.java
+++ b/src/main/java/switchgap/router/AnswerReason.java
@@ -21,8 +21,8 @@
   NO_CAPACITY,
   /** The limit of requests in flight on the request's connection was reached. */
   TOO_MANY_OPEN,
-  /** The event loop's queue was full. */
-  QUEUE_FULL,
+  /** The request was read while its idle connection was being closed. */
+  CONNECTION_CLOSING,
   /** The request was read but is invalid. */
   UNUSABLE;
 
--- a/src/main/java/switchgap/router/RouterEvent.java
+++ b/src/main/java/switchgap/router/RouterEvent.java
@@ -12,6 +12,7 @@
         RouterEvent.AttemptSent,
         RouterEvent.AttemptEnded,
         RouterEvent.ClientConnected,
+        RouterEvent.ClientReadingPaused,
         RouterEvent.InvariantViolated {
   /** The kind of an event. */
   enum Kind {
@@ -27,6 +28,8 @@
     ATTEMPT_ENDED,
     /** A client's connection was opened. */
     CLIENT_CONNECTED,
+    /** Reading from a client's connection was paused. */
+    CLIENT_READING_PAUSED,
     /** A client's connection ended. */
     CLIENT_CLOSED,
     /** A connection to a worker ended. */
@@ -204,6 +207,26 @@
     }
   }
 
+  /** Reading was paused on a connection that exceeds its share of the heap for clients. */
+  record ClientReadingPaused(String connectionId) implements RouterEvent {
+    private static final String SHARE_EXCEEDED = "SHARE_EXCEEDED";
+
+    @Override
+    public Kind kind() {
+      return Kind.CLIENT_READING_PAUSED;
+    }
+
+    @Override
+    public String reasonName() {
+      return SHARE_EXCEEDED;
+    }
+
+    @Override
+    public String subjectId() {
+      return connectionId;
+    }
+  }
+
   /**
    * A client's connection ended; {@code unanswered} is the number of requests that were read from
    * it and not answered.
--- a/src/test/java/switchgap/protocol/resp/AttemptDeadlineTest.java
+++ b/src/test/java/switchgap/protocol/resp/AttemptDeadlineTest.java
@@ -22,6 +22,7 @@
 import switchgap.router.ResponseListener;
 import switchgap.router.RouterCore;
 import switchgap.server.platform.TestPlatformSettings;
+import switchgap.testing.IgnoredEvents;
 import switchgap.testing.TestDiagnostics;
 
 /**
