Retries: write no repeat after the deduplication window, and answer when it ends

Callers saw: a request with an idempotency key runs twice, the second time 2,140 ms after the first where workers drop repeats for 2,000 ms.

Cause: RetryPolicy checks the window when an attempt is decided; the attempt then waits for a connection and RespExchange.maySend, right before the write, did not check it again. Nothing ended the wait with the window, and InvariantMonitor had no check of it. mayRetry did not ask for the window either: a request that could not be sent any more stayed in the queue.

Change: the policy passes the end of the window on with the attempt (limitAttempts); both transports check it where they write; an attempt that still waits then ends as NOT_SENT, and the request is answered at once. InvariantMonitor: RETRY_AFTER_DEDUPLICATION_WINDOW. It works because the limit now belongs to the moment of the write, and the wait cannot outlast it.

The test settings get a class with a key.

--- a/src/main/java/switchgap/policy/RequestQueue.java
+++ b/src/main/java/switchgap/policy/RequestQueue.java
@@ -14,9 +14,9 @@
 /**
  * Holds the requests that could not be sent at once. At each step the queue tries to send them in
  * descending order of weight. A request gets its final response when it can no longer meet its
- * deadline, has no attempt left, finds the queue of its worker full, or can no longer meet its
- * latency objective; the latency objective is ignored while the request waits for a replica to
- * load.
+ * deadline, has no attempt left, may no longer be repeated, finds the queue of its worker full, or
+ * can no longer meet its latency objective; the latency objective is ignored while the request
+ * waits for a replica to load.
  */
 final class RequestQueue {
   /**
@@ -94,10 +94,7 @@
     Duration expectedLatency = state.now().minus(request.arrivedAt).plus(expectedDuration);
     boolean missesObjective = !Durations.isShorter(expectedLatency, requestClass.latencyObjective);
     boolean waitsForLoad = !survey.anyLoaded() && survey.anyLoading();
-    return !isQueueFull
-        && (waitsForLoad || !missesObjective)
-        && !request.hasReachedAttempts(state.settings.maxAttempts)
-        && retries.endsInTime(request, expectedDuration);
+    return !isQueueFull && (waitsForLoad || !missesObjective) && retries.mayRetry(request);
   }
 
   /**
--- a/src/main/java/switchgap/policy/RetryPolicy.java
+++ b/src/main/java/switchgap/policy/RetryPolicy.java
@@ -38,16 +38,20 @@
    * repeat by its idempotency key.
    */
   private boolean isRepeatableAt(Request request, Worker worker) {
-    Duration window = request.requestClass.deduplicationWindow.minus(state.minDeadlineMargin);
-    boolean isRepeatDropped =
-        state.isWithin(window, request.firstSentAt()) && request.isInDeduplicationScope(worker);
-    return request.isIdempotent() || (request.isRepeatable() && isRepeatDropped);
+    return request.isIdempotent()
+        || (isRepeatable(request) && request.isInDeduplicationScope(worker));
   }
 
-  /** Whether a request without an attempt in flight may be attempted again. */
+  /** Whether the request may be executed again now, at least at some workers. */
+  private boolean isRepeatable(Request request) {
+    Duration until = state.repeatableUntil(request);
+    return request.isRepeatable() && (until == null || !state.hasPassed(until));
+  }
+
+  /** Whether a request without an attempt in flight may be attempted again, now or later. */
   boolean mayRetry(Request request) {
     return !request.hasReachedAttempts(state.settings.maxAttempts)
-        && (request.neverExecuted() || request.isRepeatable())
+        && (request.neverExecuted() || isRepeatable(request))
         && endsInTime(request, LoadEstimator.medianDuration(request.requestClass));
   }
 
--- a/src/main/java/switchgap/policy/api/PolicyActions.java
+++ b/src/main/java/switchgap/policy/api/PolicyActions.java
@@ -21,6 +21,14 @@
    */
   default void limitSends(int worker, Duration until) {}
 
+  /**
+   * Sets the time after which no attempt of a request may be written to a worker, including those
+   * that wait for a connection. An attempt that is unwritten then ends as not sent.
+   *
+   * @param until time since the router's start; null removes the limit
+   */
+  default void limitAttempts(int request, Duration until) {}
+
   /** Cancels an attempt that is in flight. */
   void cancelAttempt(int request, int attempt);
 
--- a/src/main/java/switchgap/policy/state/ActionDispatcher.java
+++ b/src/main/java/switchgap/policy/state/ActionDispatcher.java
@@ -16,6 +16,7 @@
 
   /** Starts an attempt of a request at a worker; it times out at the deadline less the margin. */
   public void startAttempt(Request request, Worker worker) {
+    limitAttempts(request);
     boolean loaded = state.replicaState(request.function, worker) == Replica.State.LOADED;
     AttemptState attempt = new AttemptState(loaded, state.settings.loadsOnDemand);
     request.attemptStarted(worker, attempt, state.now());
@@ -68,6 +69,15 @@
     state.actions().probe(worker.id);
   }
 
+  /** Limits attempts of a request to the time for which it may be repeated, if it has changed. */
+  private void limitAttempts(Request request) {
+    Duration limit = state.repeatableUntil(request);
+    if (!Objects.equals(limit, request.attemptLimit())) {
+      request.attemptsLimited(limit);
+      state.actions().limitAttempts(request.id, limit);
+    }
+  }
+
   /** Limits sends to a worker to the current lease, if leases are required and it has changed. */
   private void limitSends(Worker worker) {
     Duration limit = state.sendLimit(worker);
--- a/src/main/java/switchgap/policy/state/Request.java
+++ b/src/main/java/switchgap/policy/state/Request.java
@@ -38,6 +38,7 @@
   private int possibleExecutions;
   private Worker firstWorker;
   private Duration firstSentAt;
+  private Duration attemptLimit;
   private Worker suspectWorker;
   private Duration probeDeadline;
   private int pendingProbes;
@@ -141,6 +142,16 @@
     return firstSentAt;
   }
 
+  /** The limit that was last passed to the core, after which no attempt is sent; or null. */
+  Duration attemptLimit() {
+    return attemptLimit;
+  }
+
+  /** Records the limit that was passed to the core. */
+  void attemptsLimited(Duration until) {
+    attemptLimit = until;
+  }
+
   /** Number of its attempts in flight. */
   public int inFlight() {
     return inFlight;
--- a/src/main/java/switchgap/protocol/inference/InferenceExchange.java
+++ b/src/main/java/switchgap/protocol/inference/InferenceExchange.java
@@ -118,6 +118,11 @@
     return endedNow;
   }
 
+  /** Ends the exchange without a callback if it has not been sent; returns whether it did. */
+  final synchronized boolean withdraw() {
+    return state == ExchangeState.WAITING && transition(ExchangeState.ENDED);
+  }
+
   /**
    * Ends the exchange without a callback and returns the outcome: NOT_SENT or CONNECT_FAILED if no
    * byte was sent, TIMED_OUT if the request may have been executed. The state is read and changed
--- a/src/main/java/switchgap/protocol/inference/InferenceWorkerTransport.java
+++ b/src/main/java/switchgap/protocol/inference/InferenceWorkerTransport.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import switchgap.net.HttpClientConnector;
 import switchgap.net.KeyedWriters;
 import switchgap.policy.api.AttemptOutcome;
@@ -27,6 +28,7 @@
   private final HttpClientConnector connector;
   private final HttpPoolLimits poolLimits;
   private final KeyedWriters writers;
+  private final Supplier<Duration> clock;
   private final Consumer<Consumer<RouterCore>> eventLoop;
   private final Runnable endpointListRequester;
   private final Set<HttpConnectionPool> pools = ConcurrentHashMap.newKeySet();
@@ -37,6 +39,7 @@
    * @param connector opens connections
    * @param poolLimits limits of each connection pool
    * @param writers threads that encode and send attempts
+   * @param clock the router's clock
    * @param eventLoop posts an event to the router's event loop
    * @param endpointListRequester called to request the endpoint list
    */
@@ -44,11 +47,13 @@
       HttpClientConnector connector,
       HttpPoolLimits poolLimits,
       KeyedWriters writers,
+      Supplier<Duration> clock,
       Consumer<Consumer<RouterCore>> eventLoop,
       Runnable endpointListRequester) {
     this.connector = connector;
     this.poolLimits = poolLimits;
     this.writers = writers;
+    this.clock = clock;
     this.eventLoop = eventLoop;
     this.endpointListRequester = endpointListRequester;
   }
@@ -100,12 +105,26 @@
         new AttemptExchange(
             attempt,
             poolsOf(attempt.worker()).attempts(),
-            System.nanoTime() + timeout.toNanos(),
+            System.nanoTime() + sendTimeout(attempt, timeout).toNanos(),
             eventLoop);
     attempt.attach(exchange);
     writers.execute(attempt.worker().port(), exchange::submit);
   }
 
+  /**
+   * The time within which the attempt may be sent: its timeout, or less if its request has less.
+   */
+  private Duration sendTimeout(Attempt attempt, Duration timeout) {
+    Duration limit = attempt.request().attemptLimit();
+    Duration remaining = limit == null ? timeout : limit.minus(clock.get());
+    return remaining.compareTo(timeout) < 0 ? remaining : timeout;
+  }
+
+  @Override
+  public boolean withdraw(Attempt attempt) {
+    return attempt.attachment() instanceof InferenceExchange exchange && exchange.withdraw();
+  }
+
   @Override
   public AttemptOutcome abandon(Attempt attempt) {
     return attempt.attachment() instanceof InferenceExchange exchange
--- a/src/main/java/switchgap/protocol/resp/RespExchange.java
+++ b/src/main/java/switchgap/protocol/resp/RespExchange.java
@@ -122,12 +122,18 @@
   /**
    * Whether the command may be sent now. This must be checked immediately before sending, not on
    * submission, because in between the worker may start draining, the client may disconnect, or the
-   * deadline may pass.
+   * deadline or the time for repeats of the request may pass.
    */
   boolean maySend(long nowNanos) {
+    Duration now = Duration.ofNanos(nowNanos);
     return state == State.WAITING
-        && (allowedWhileDraining || worker.isAccepting(Duration.ofNanos(nowNanos)))
-        && (attempt == null || (attempt.request().isAwaited() && !isOverdue(nowNanos)));
+        && (allowedWhileDraining || worker.isAccepting(now))
+        && (attempt == null || mayAttempt(now));
+  }
+
+  private boolean mayAttempt(Duration now) {
+    PendingRequest request = attempt.request();
+    return request.isAwaited() && request.mayAttemptAt(now) && !isOverdue(now.toNanos());
   }
 
   /** Whether the deadline has passed. */
--- a/src/main/java/switchgap/protocol/resp/RespWorkerTransport.java
+++ b/src/main/java/switchgap/protocol/resp/RespWorkerTransport.java
@@ -98,6 +98,17 @@
     core.attemptEnded(attempt, outcome, loadReport, response);
   }
 
+  @Override
+  public boolean withdraw(Attempt attempt) {
+    boolean isWaiting =
+        attempt.attachment() instanceof RespExchange exchange
+            && exchange.state() == RespExchange.State.WAITING;
+    if (isWaiting) {
+      abandon(attempt);
+    }
+    return isWaiting;
+  }
+
   @Override
   public AttemptOutcome abandon(Attempt attempt) {
     return attempt.attachment() instanceof RespExchange exchange
--- a/src/main/java/switchgap/router/ActionExecutor.java
+++ b/src/main/java/switchgap/router/ActionExecutor.java
@@ -43,6 +43,11 @@
     endpoints.get(worker).limitSends(until);
   }
 
+  @Override
+  public void limitAttempts(int request, Duration until) {
+    requests.get(request).limitAttempts(until);
+  }
+
   @Override
   public void cancelAttempt(int request, int number) {
     attempts.cancel(requests.get(request).attempts().get(number));
--- a/src/main/java/switchgap/router/Attempt.java
+++ b/src/main/java/switchgap/router/Attempt.java
@@ -17,6 +17,7 @@
   private boolean hasEnded;
   private boolean mayHaveExecuted = true;
   private TimerQueue.Timer timeoutTimer;
+  private TimerQueue.Timer sendLimitTimer;
 
   /**
    * Creates an attempt in flight. {@code number} counts the request's attempts from 0; {@code
@@ -75,6 +76,15 @@
     return timeoutTimer;
   }
 
+  void setSendLimitTimer(TimerQueue.Timer timer) {
+    sendLimitTimer = timer;
+  }
+
+  /** The timer that ends the attempt if it has not been sent; null if there is none. */
+  TimerQueue.Timer sendLimitTimer() {
+    return sendLimitTimer;
+  }
+
   /** Records the outcome. Called once. */
   void end(AttemptOutcome outcome) {
     hasEnded = true;
--- a/src/main/java/switchgap/router/AttemptLifecycle.java
+++ b/src/main/java/switchgap/router/AttemptLifecycle.java
@@ -25,6 +25,10 @@
     Attempt attempt = request.addAttempt(worker, context.now());
     attempt.setTimeoutTimer(
         context.timers().schedule(context.now().plus(timeout), () -> timeOut(attempt)));
+    if (request.attemptLimit() != null) {
+      attempt.setSendLimitTimer(
+          context.timers().schedule(request.attemptLimit(), () -> endUnlessSent(attempt)));
+    }
     transport.startAttempt(attempt, timeout);
   }
 
@@ -38,6 +42,13 @@
     }
   }
 
+  /** Ends an attempt that is still waiting to be sent although it may not be sent any more. */
+  private void endUnlessSent(Attempt attempt) {
+    if (!attempt.hasEnded() && transport.withdraw(attempt)) {
+      ended(attempt, AttemptOutcome.NOT_SENT, LoadReport.NONE, null);
+    }
+  }
+
   /**
    * Cancels an attempt unless it has ended. The policy calls this while it makes decisions and
    * cannot receive events then, so it is notified in the next tick.
@@ -60,6 +71,7 @@
     attempt.end(outcome);
     context.observer().attemptEnded(attempt, outcome);
     context.timers().cancel(attempt.timeoutTimer());
+    context.timers().cancel(attempt.sendLimitTimer());
     context.observer().workerReported(report);
     if (outcome == AttemptOutcome.SUCCEEDED) {
       requests.respond(attempt.request(), response);
--- a/src/main/java/switchgap/router/InvariantMonitor.java
+++ b/src/main/java/switchgap/router/InvariantMonitor.java
@@ -69,6 +69,22 @@
         RouterInvariant.RETRY_OF_NON_IDEMPOTENT,
         id,
         now);
+    check(
+        isWithinDeduplicationWindow(attempt, now),
+        RouterInvariant.RETRY_AFTER_DEDUPLICATION_WINDOW,
+        id,
+        now);
+  }
+
+  private boolean isWithinDeduplicationWindow(Attempt attempt, Duration now) {
+    int requestClass = attempt.request().requestClass();
+    if (settings.idempotency(requestClass) != Idempotency.IDEMPOTENT_WITH_KEY) {
+      return true;
+    }
+    Duration earliest = now.minus(settings.deduplicationWindow(requestClass));
+    return attempt.request().attempts().stream()
+        .filter(other -> other != attempt && other.mayHaveExecuted())
+        .allMatch(other -> other.sentAt().compareTo(earliest) >= 0);
   }
 
   private static boolean isDisconnected(PendingRequest request, Duration now) {
--- a/src/main/java/switchgap/router/PendingRequest.java
+++ b/src/main/java/switchgap/router/PendingRequest.java
@@ -40,6 +40,9 @@
   private Duration acceptedAt = Duration.ZERO;
   private int index = NO_INDEX;
 
+  /** Written on the event loop; writer threads read it as well. */
+  private volatile Duration attemptLimit;
+
   PendingRequest(RequestSpec spec, ResponseListener listener) {
     this.spec = spec;
     this.listener = listener;
@@ -148,6 +151,25 @@
     return attempt;
   }
 
+  /**
+   * Sets the time from which no attempt of the request may be written any more, because it could
+   * then be executed twice; null for no limit.
+   */
+  void limitAttempts(Duration until) {
+    attemptLimit = until;
+  }
+
+  /** The time from which no attempt may be written any more; null for no limit. */
+  public Duration attemptLimit() {
+    return attemptLimit;
+  }
+
+  /** Whether an attempt may be written at this time. */
+  public boolean mayAttemptAt(Duration now) {
+    Duration limit = attemptLimit;
+    return limit == null || now.compareTo(limit) < 0;
+  }
+
   /** Records when the core accepted the request. */
   void accept(Duration now) {
     acceptedAt = now;
--- a/src/main/java/switchgap/router/RouterInvariant.java
+++ b/src/main/java/switchgap/router/RouterInvariant.java
@@ -17,6 +17,11 @@
   TIMEOUT_PAST_DEADLINE,
   /** A non-idempotent request is retried although an earlier attempt may have been executed. */
   RETRY_OF_NON_IDEMPOTENT,
+  /**
+   * A request with an idempotency key is retried later than workers drop repeats, although an
+   * earlier attempt may have been executed.
+   */
+  RETRY_AFTER_DEDUPLICATION_WINDOW,
   /** An attempt is sent although it has ended. */
   ATTEMPT_SENT_TWICE,
   /** A load command is sent to a worker that is draining or gone. */
--- a/src/main/java/switchgap/router/WorkerTransport.java
+++ b/src/main/java/switchgap/router/WorkerTransport.java
@@ -8,9 +8,21 @@
  * a result before it returns; results arrive as events of a later tick.
  */
 public interface WorkerTransport {
-  /** Sends an attempt. Its end is reported to {@link RouterCore#attemptEnded}. */
+  /**
+   * Sends an attempt, but not after its request's {@linkplain PendingRequest#attemptLimit limit}.
+   * Its end is reported to {@link RouterCore#attemptEnded}.
+   */
   void startAttempt(Attempt attempt, Duration timeout);
 
+  /**
+   * Ends an attempt's exchange if no byte of the attempt was sent, so that none will be; returns
+   * whether it did. An exchange of which bytes were sent continues. Without an implementation
+   * attempts are sent at once.
+   */
+  default boolean withdraw(Attempt attempt) {
+    return false;
+  }
+
   /**
    * Ends an attempt's exchange; a late response is discarded. Returns NOT_SENT or CONNECT_FAILED if
    * no byte of the attempt was or will be sent, otherwise TIMED_OUT.
--- a/src/main/java/switchgap/server/gateway/CoreFactory.java
+++ b/src/main/java/switchgap/server/gateway/CoreFactory.java
@@ -40,6 +40,7 @@
             connector,
             config.workers().limits(),
             writers,
+            loop::now,
             loop::post,
             () -> endpointListRequester.run());
     if (config.plannerLink() != null) {
--- a/src/main/java/switchgap/server/gateway/ForwardingWorkerTransport.java
+++ b/src/main/java/switchgap/server/gateway/ForwardingWorkerTransport.java
@@ -20,6 +20,11 @@
     delegate.startAttempt(attempt, timeout);
   }
 
+  @Override
+  public boolean withdraw(Attempt attempt) {
+    return delegate.withdraw(attempt);
+  }
+
   @Override
   public AttemptOutcome abandon(Attempt attempt) {
     return delegate.abandon(attempt);
--- a/src/test/java/switchgap/policy/PolicyHarness.java
+++ b/src/test/java/switchgap/policy/PolicyHarness.java
@@ -188,6 +188,11 @@
     record("limit worker " + worker + " to " + (until == null ? "-" : until.toMillis() + " ms"));
   }
 
+  @Override
+  public void limitAttempts(int request, Duration until) {
+    record("limit request " + request + " to " + (until == null ? "-" : until.toMillis() + " ms"));
+  }
+
   @Override
   public void cancelAttempt(int request, int attempt) {
     record("cancel request " + request + " attempt " + attempt);
--- a/src/test/java/switchgap/policy/RetryPolicyTest.java
+++ b/src/test/java/switchgap/policy/RetryPolicyTest.java
@@ -106,6 +106,44 @@
     }
   }
 
+  /**
+   * Guards against a repeat that is written after the window (review case 3): the limit of 1,000 ms
+   * less two ticks of 5 ms is passed on with the attempt, which may have to wait.
+   */
+  @Test
+  void limitsRepeatsWithIdempotencyKeyToTheDeduplicationWindow() {
+    PolicyHarness harness = afterLostAttempt(900);
+    assertThat(harness.count("limit request 0 to 1000 ms")).isEqualTo(1);
+    assertThat(harness.count("send")).isEqualTo(2);
+  }
+
+  /** Guards against a request that waits for its deadline although it can't be sent any more. */
+  @Test
+  void answersAtOnceWhenRepeatWasNotSentWithinTheDeduplicationWindow() {
+    PolicyHarness harness = afterLostAttempt(900);
+    int worker = harness.sentTo(0);
+    harness.at(
+        1000,
+        events ->
+            events.attemptEnded(
+                new AttemptResult(
+                    0, 1, worker, AttemptOutcome.NOT_SENT, millis(100), false, LoadReport.NONE)));
+    assertThat(harness.count("reject request 0")).isEqualTo(1);
+  }
+
+  /** Request 0 has an idempotency key, and its first attempt is lost at the given time. */
+  private static PolicyHarness afterLostAttempt(int lostMillis) {
+    TestSettings settings = new TestSettings();
+    settings.idempotency = Idempotency.IDEMPOTENT_WITH_KEY;
+    settings.latencyObjective = millis(1900);
+    PolicyHarness harness = new PolicyHarness(settings);
+    harness.at(0, events -> list(events, 4)).at(10, events -> harness.requestArrives(events, 0, 0));
+    int primary = harness.firstWorker();
+    return harness.at(
+        lostMillis,
+        events -> harness.attemptEnds(events, failed(0, primary).withDuration(lostMillis - 10)));
+  }
+
   @Test
   void rejectsRequestBeforeDeadlineWhenReplicaIsNotLoadedInTime() throws IOException {
     PolicyHarness harness = new PolicyHarness(new TestSettings());
--- a/src/test/java/switchgap/policy/TestSettings.java
+++ b/src/test/java/switchgap/policy/TestSettings.java
@@ -14,6 +14,7 @@
 class TestSettings implements RouterSettings {
   Idempotency idempotency = Idempotency.IDEMPOTENT;
   DeduplicationScope deduplicationScope = DeduplicationScope.ALL;
+  Duration latencyObjective = millis(400);
   boolean loadsOnDemand;
   int routerCount = 2;
   int routerIndex;
@@ -51,7 +52,7 @@
 
   @Override
   public Duration latencyObjective(int requestClass) {
-    return millis(400);
+    return latencyObjective;
   }
 
   @Override
--- a/src/test/java/switchgap/router/InvariantMonitorTest.java
+++ b/src/test/java/switchgap/router/InvariantMonitorTest.java
@@ -21,20 +21,26 @@
   /** Index of the non-idempotent request class in the settings. */
   private static final int NON_IDEMPOTENT = 1;
 
+  /** Index of the request class whose repeats workers drop for 1 s. */
+  private static final int KEYED = 2;
+
   private final List<String> logLines = new ArrayList<>();
   private final RouterEvents events = RouterEvents.counting();
   private final InvariantMonitor monitor;
   private final WorkerEntry worker = new WorkerEntry("worker", "127.0.0.1", 1, 0);
-  private final PendingRequest request =
-      PendingRequest.builder("request", "function", DEADLINE, this)
-          .requestClass(NON_IDEMPOTENT)
-          .build();
+  private final PendingRequest request = request(NON_IDEMPOTENT);
   private boolean clientDisconnected;
 
   InvariantMonitorTest() throws Exception {
     monitor = new InvariantMonitor(TestPlatformSettings.routerSettings(), events, logLines::add);
   }
 
+  private PendingRequest request(int requestClass) {
+    return PendingRequest.builder("request", "function", DEADLINE, this)
+        .requestClass(requestClass)
+        .build();
+  }
+
   private Attempt addAttempt() {
     return request.addAttempt(worker, NOW);
   }
@@ -66,6 +72,11 @@
         first.end(AttemptOutcome.TIMED_OUT);
         checkBeforeSending(addAttempt());
       }
+      case RETRY_AFTER_DEDUPLICATION_WINDOW -> {
+        PendingRequest keyed = request(KEYED);
+        keyed.addAttempt(worker, NOW.minusMillis(1001)).end(AttemptOutcome.TIMED_OUT);
+        checkBeforeSending(keyed.addAttempt(worker, NOW));
+      }
       case ATTEMPT_SENT_TWICE -> {
         first.end(AttemptOutcome.NOT_SENT);
         checkBeforeSending(first);
@@ -101,6 +112,9 @@
     monitor.beforeAttempt(first, Duration.ofMillis(1050), NOW);
     first.end(AttemptOutcome.NOT_SENT);
     checkBeforeSending(addAttempt());
+    PendingRequest keyed = request(KEYED);
+    keyed.addAttempt(worker, NOW.minusMillis(1000)).end(AttemptOutcome.TIMED_OUT);
+    checkBeforeSending(keyed.addAttempt(worker, NOW));
     monitor.beforeLoad(worker, NOW);
     monitor.beforeAnswer(request, NOW);
     monitor.afterClose("c2", true, 3, NOW);
--- a/src/test/java/switchgap/router/SocketCoreFixture.java
+++ b/src/test/java/switchgap/router/SocketCoreFixture.java
@@ -101,6 +101,7 @@
             new HttpClientConnector(network, null, MAX_BODY_BYTES),
             new HttpPoolLimits(maxConnections, maxWaiting, CONNECT_TIMEOUT, IDLE_TIMEOUT),
             writers,
+            this::now,
             events::add,
             () -> {});
     core =
@@ -202,12 +203,23 @@
     tick();
   }
 
+  /** Makes the policy limit the attempts of a request to a time from now on. */
+  void limitAttempts(int request, Duration span) {
+    Duration until = now().plus(span);
+    decide(actions -> actions.limitAttempts(request, until));
+  }
+
   void receiveWorker(int port, WorkerState state) {
     receiveWorker("127.0.0.1", port, state);
   }
 
   /** Offers a request and starts its first attempt at the worker; returns the request's index. */
   int startRequest() {
+    return startRequestAttemptedWithin(REQUEST_TIMEOUT);
+  }
+
+  /** As {@link #startRequest}, but no attempt may be sent after the given time from now. */
+  int startRequestAttemptedWithin(Duration span) {
     PendingRequest request =
         PendingRequest.builder(
                 "request-" + requestCount, "f", now().plus(REQUEST_TIMEOUT), new IgnoringListener())
@@ -218,6 +230,7 @@
     tick();
     int index = requestCount;
     requestCount++;
+    limitAttempts(index, span);
     decide(actions -> actions.startAttempt(index, WORKER, ATTEMPT_TIMEOUT));
     tick();
     return index;
--- a/src/test/java/switchgap/router/WorkerConnectionsTest.java
+++ b/src/test/java/switchgap/router/WorkerConnectionsTest.java
@@ -35,6 +35,41 @@
     }
   }
 
+  /**
+   * Guards against a repeat that waits for a connection and is sent after workers have forgotten
+   * the request, so that it is executed twice (review case 3). It ends at the limit, not when a
+   * connection is free.
+   */
+  @Test
+  void endsAWaitingAttemptAtTheLimitOfItsRequest() throws Exception {
+    try (SocketCoreFixture fixture = SocketCoreFixture.withConnections(1);
+        HttpTestServer worker = new HttpTestServer(HttpTestServer::silent)) {
+      fixture.receiveWorker(worker.port(), WorkerState.READY);
+      fixture.startRequest();
+      fixture.awaitWithin(2000, () -> worker.inferenceRequestCount() == 1);
+
+      int repeat = fixture.startRequestAttemptedWithin(Duration.ofMillis(100));
+
+      fixture.awaitResultWithin(1000, Result.attempt(repeat, AttemptOutcome.NOT_SENT));
+      assertThat(worker.inferenceRequestCount()).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void sendsNoAttemptPastTheLimitOfItsRequestOnAFreeConnection() throws Exception {
+    try (SocketCoreFixture fixture = SocketCoreFixture.withConnections(1);
+        HttpTestServer worker = new HttpTestServer(HttpTestServer::echo)) {
+      fixture.receiveWorker(worker.port(), WorkerState.READY);
+      int first = fixture.startRequest();
+      fixture.awaitResultWithin(2000, Result.attempt(first, AttemptOutcome.SUCCEEDED));
+
+      int repeat = fixture.startRequestAttemptedWithin(Duration.ZERO);
+
+      fixture.awaitResultWithin(1000, Result.attempt(repeat, AttemptOutcome.NOT_SENT));
+      assertThat(worker.inferenceRequestCount()).isEqualTo(1);
+    }
+  }
+
   @Test
   void sendsNoWaitingAttemptToTheFormerAddressOfAWorker() throws Exception {
     HttpTestServer.Responder slowEcho =
--- a/src/test/java/switchgap/server/platform/TestPlatformSettings.java
+++ b/src/test/java/switchgap/server/platform/TestPlatformSettings.java
@@ -16,7 +16,9 @@
        "Lanes":[{"Name":"again","AimUs":300000,"DeadlineUs":1000000,"Worth":1,\
       "LateValue":0.1,"Effect":"retryable","Group":"all","MemorySpanUs":5000000},
                 {"Name":"once","AimUs":300000,"DeadlineUs":1000000,"Worth":2,"LateValue":0.1,\
-      "Effect":"fragile","Group":"all","MemorySpanUs":5000000}],
+      "Effect":"fragile","Group":"all","MemorySpanUs":5000000},
+                {"Name":"keyed","AimUs":300000,"DeadlineUs":1000000,"Worth":1,"LateValue":0.1,\
+      "Effect":"dedup","Group":"all","MemorySpanUs":1000000}],
        "Tenants":[{"Name":"shop","QuotaPerS":1000}],
        "Limits":{"MaxAttempts":3,"SecondCopies":false,"Probes":true,"Cancel":true,\
       "RetryAfter":true,"MaxRetryAfterUs":900000,
--- a/src/test/java/switchgap/server/platform/TestSubmit.java
+++ b/src/test/java/switchgap/server/platform/TestSubmit.java
@@ -18,6 +18,9 @@
   /** Request class of {@link TestPlatformSettings} with requests that are not idempotent. */
   static final String NON_IDEMPOTENT_CLASS = "once";
 
+  /** Request class of {@link TestPlatformSettings} that workers deduplicate for 1 s. */
+  static final String KEYED_CLASS = "keyed";
+
   private final String requestClass;
   private final String id;
   private long timeoutMillis = 900;
