DeduplicationWindowTest: reach the write, by a worker that loads on demand

With workers that reject what they have not loaded, the repeat waited for a load and not for a connection, so the test saw only the late answer. Now, on, it fails as the second worker receives the request; with the fix it receives nothing and the answer comes with the window's end.

--- a/src/test/java/switchgap/server/platform/DeduplicationWindowTest.java
+++ b/src/test/java/switchgap/server/platform/DeduplicationWindowTest.java
@@ -28,6 +28,7 @@
   void sendsNoRepeatThatWaitedForConnectionPastTheWindow() throws Exception {
     settings =
         settings
+            .replace("\"IfCold\":\"miss\"", "\"IfCold\":\"load\"")
             .replace("\"DialTimeoutUs\":250000", "\"DialTimeoutUs\":5000000")
             .replace("\"DeadlineUs\":1000000", "\"DeadlineUs\":9000000");
     CountDownLatch received = new CountDownLatch(1);
