Client reads: bytes that an earlier read left in the socket count from that read

Found by reading, after reads of clients were limited to 4 KiB: after a stall only the first read of a message was dated to the stall, the next ones to their own time, so a request with a body past one read got up to the whole stall too much time (its timeout passed to a worker may exceed what the client has left by 0.15 s at most). Before, the same held for messages past 16 KiB. Now a read that may have left bytes hands its time on until the socket was read empty, and a wait for pending reads after a stall lasts for six iterations, in which 20 KiB have been read.

--- a/src/main/java/switchgap/net/StallTrackingSelectorHandler.java
+++ b/src/main/java/switchgap/net/StallTrackingSelectorHandler.java
@@ -23,10 +23,10 @@
   static final long SELECT_TIMEOUT_MILLIS = 50;
 
   /**
-   * Number of iterations in which a message of typical size, which needs more than one read, has
-   * been read.
+   * Number of iterations in which a message of up to 20 KiB has been read in reads of 4 KiB, the
+   * shortest maximum of one read.
    */
-  private static final int ITERATIONS_PER_MESSAGE = 3;
+  private static final int ITERATIONS_PER_MESSAGE = 6;
 
   private final Set<SelectorRunner> eventLoops = ConcurrentHashMap.newKeySet();
 
--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -174,20 +174,22 @@
   /**
    * Returns the earliest time at which the bytes of the current read may have arrived. If the bytes
    * of the first read had waited in the kernel, the rest of the first message may have waited as
-   * long, even if it is read in several parts. So may the bytes that are read after a pause.
+   * long, even if it is read in several parts. So may bytes that an earlier read left in the
+   * socket.
    *
    * @param receivedAt the earliest arrival time that follows from this read alone
    * @param receiveDelay the maximum time that the bytes of this read may have waited
    * @param isReadEmpty whether this read leaves no bytes in the socket
    */
   Duration earliestReceivedAt(Duration receivedAt, Duration receiveDelay, boolean isReadEmpty) {
+    Duration earliest = flowControl.earliestReceivedAt(receivedAt, isReadEmpty);
     if (receiver.hasReceivedMessage()) {
-      return flowControl.earliestReceivedAt(receivedAt, isReadEmpty);
+      return earliest;
     }
     if (firstReadReceivedAt == null) {
       firstReadReceivedAt = receiveDelay.isZero() ? NO_EARLIER_BOUND : receivedAt;
     }
-    return firstReadReceivedAt.compareTo(receivedAt) < 0 ? firstReadReceivedAt : receivedAt;
+    return firstReadReceivedAt.compareTo(earliest) < 0 ? firstReadReceivedAt : earliest;
   }
 
   /** Passes complete frames to the handler; returns false once a length is out of bounds. */
--- a/src/main/java/switchgap/protocol/thrift/ReadFlowControl.java
+++ b/src/main/java/switchgap/protocol/thrift/ReadFlowControl.java
@@ -18,8 +18,8 @@
   private final AtomicBoolean isPaused = new AtomicBoolean();
 
   /**
-   * Time since which bytes may have been waiting in the socket, because reading was paused and it
-   * has not been read empty since; null if none can. Selector thread only.
+   * Time since which bytes may have been waiting in the socket, because it has not been read empty
+   * since; null if none can. Selector thread only.
    */
   private Duration unreadSince;
 
@@ -71,16 +71,16 @@
   }
 
   /**
-   * Returns the earliest time at which bytes that are read now may have arrived.
+   * Returns the earliest time at which bytes that are read now may have arrived: as early as those
+   * of the reads before, if these left bytes in the socket.
    *
-   * @param receivedAt the earliest time if reading has not been paused
+   * @param receivedAt the earliest time if the socket was empty before
    * @param isReadEmpty whether this read leaves no bytes in the socket
    */
   Duration earliestReceivedAt(Duration receivedAt, boolean isReadEmpty) {
-    Duration since = unreadSince;
-    if (isReadEmpty) {
-      unreadSince = null;
-    }
-    return since != null && since.compareTo(receivedAt) < 0 ? since : receivedAt;
+    boolean mayBeOlder = unreadSince != null && unreadSince.compareTo(receivedAt) < 0;
+    Duration earliest = mayBeOlder ? unreadSince : receivedAt;
+    unreadSince = isReadEmpty ? null : earliest;
+    return earliest;
   }
 }
