Client replies: heartbeats of one read are answered with one write; ReplySender

Replies made on the selector thread are now sent together after each read. Sending moves from ClientConnection to ReplySender.

--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -21,12 +21,8 @@
   /** Value of {@link #firstReadReceivedAt} if the bytes of the first read had not waited. */
   private static final Duration NO_EARLIER_BOUND = Duration.ofSeconds(Long.MAX_VALUE);
 
-  /** Upper bound for the heap that the transport's records of an unsent reply hold. */
-  private static final int UNSENT_REPLY_OVERHEAD_BYTES = 320;
-
   private final TcpConnection connection;
   private final Supplier<Duration> clock;
-  private final int maxUnsentBytes;
   private final MessageReceiver receiver;
 
   /** Requests in flight by sequence id. Event loop only. */
@@ -35,6 +31,7 @@
   /** Heap of the queued messages and of the unsent replies. */
   private final SharedCapacity.Share heap;
 
+  private final ReplySender replies;
   private final ClientMessageQueue messageQueue;
   private final ReadFlowControl flowControl;
 
@@ -71,11 +68,11 @@
       int maxUnsentBytes,
       SharedCapacity.Share heap) {
     this.connection = connection;
-    this.maxUnsentBytes = maxUnsentBytes;
     this.clock = clock;
     this.heap = heap;
     Duration openedAt = clock.get();
     receiver = new MessageReceiver(openedAt);
+    replies = new ReplySender(connection, heap, maxUnsentBytes);
     messageQueue = new ClientMessageQueue(heap);
     flowControl =
         new ReadFlowControl(connection, heap, clock, () -> receiver.restartDueTime(clock.get()));
@@ -99,40 +96,20 @@
 
   /** Sends a reply, or closes the connection if the client has left too many reply bytes unread. */
   void send(byte[] reply) {
-    if (connection.unsentBytes() > maxUnsentBytes) {
-      close(ClientCloseReason.REPLIES_UNREAD);
-    } else {
-      sendCounted(reply);
-      lastActiveNanos = clock.get().toNanos();
-    }
-  }
-
-  /** Sends a reply regardless of unsent bytes; the caller closes the connection right after it. */
-  void sendBeforeClose(byte[] reply) {
-    sendCounted(reply);
-  }
-
-  private void sendCounted(byte[] reply) {
-    heap.add(unsentHeapBytes(reply.length));
-    if (!connection.send(reply)) {
-      heap.subtract(unsentHeapBytes(reply.length));
-    }
+    replies.send(reply);
+    lastActiveNanos = clock.get().toNanos();
   }
 
   /** Records that a reply of this length has been written to the socket. */
   void replyWritten(int byteCount) {
-    heap.subtract(unsentHeapBytes(byteCount));
+    replies.written(byteCount);
     flowControl.resumeIfDrained();
   }
 
-  private static int unsentHeapBytes(int replyBytes) {
-    return UNSENT_REPLY_OVERHEAD_BYTES + replyBytes;
-  }
-
   /** Closes the connection after a message that could not be decoded, with a reply if possible. */
   void closeMalformed(MalformedMessageException cause) {
     if (cause.method() != null) {
-      sendBeforeClose(
+      replies.sendBeforeClose(
           ThriftResponseEncoder.protocolError(
               cause.method(), cause.sequenceId(), cause.getMessage()));
     }
@@ -141,7 +118,7 @@
 
   /** Whether reply bytes are still waiting to be written to the socket. */
   boolean hasUnsentReplies() {
-    return connection.unsentBytes() > 0;
+    return replies.hasUnsent();
   }
 
   /** Time at which the close of the connection was detected, or null while it is open. */
@@ -207,6 +184,18 @@
     revokedAt.put(sequenceId, now);
   }
 
+  /** Adds a reply to those that {@link #sendBatchedReplies} sends. */
+  void batchReply(byte[] reply) {
+    replies.addToBatch(reply);
+  }
+
+  /** Sends the batched replies. */
+  void sendBatchedReplies() {
+    if (replies.sendBatch()) {
+      lastActiveNanos = clock.get().toNanos();
+    }
+  }
+
   /** Whether the event loop is evicting the connection. */
   boolean isEvicting() {
     return isEvicting;
--- a/src/main/java/switchgap/protocol/thrift/ClientMessageReader.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientMessageReader.java
@@ -29,7 +29,8 @@
   }
 
   /**
-   * Handles one complete frame.
+   * Handles one complete frame. The caller sends the connection's batched replies after the last
+   * frame of a read.
    *
    * @param receivedAt earliest time at which its last byte may have arrived
    */
@@ -42,6 +43,7 @@
       ThriftMessageHeader header = ThriftMessageDecoder.decodeHeader(frame);
       messageReceived(connection, header, frame, receivedAt);
     } catch (MalformedMessageException e) {
+      connection.sendBatchedReplies();
       connection.closeMalformed(e);
     }
   }
@@ -62,9 +64,9 @@
     ThriftMessage message = ThriftMessageDecoder.decode(frame);
     switch (method) {
       case WireNames.HEARTBEAT ->
-          connection.send(ThriftResponseEncoder.heartbeat(method, sequenceId, isHealthy));
+          connection.batchReply(ThriftResponseEncoder.heartbeat(method, sequenceId, isHealthy));
       case WireNames.REVOKE -> enqueueRevoke(connection, message.firstInteger(), receivedAt);
-      default -> connection.send(ThriftResponseEncoder.unknownMethod(method, sequenceId));
+      default -> connection.batchReply(ThriftResponseEncoder.unknownMethod(method, sequenceId));
     }
   }
 
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -153,7 +153,9 @@
         connection.earliestReceivedAt(clock.get().minus(receiveDelay), receiveDelay, isReadEmpty);
     Consumer<byte[]> frameHandler =
         frame -> messageReader.frameReceived(connection, frame, receivedAt);
-    if (!connection.receive(bytes, frameHandler, receivedAt)) {
+    boolean isWithinBounds = connection.receive(bytes, frameHandler, receivedAt);
+    connection.sendBatchedReplies();
+    if (!isWithinBounds) {
       connection.close(ClientCloseReason.FRAME_OUT_OF_BOUNDS);
     }
     if (connection.flowControl().pauseIfShareExceeded()) {
--- a/src/test/java/switchgap/protocol/thrift/SharedCapacityTest.java
+++ b/src/test/java/switchgap/protocol/thrift/SharedCapacityTest.java
@@ -33,7 +33,7 @@
   @Test
   void manyHoldersLeaveOneMoreShareFree() {
     SharedCapacity capacity = new SharedCapacity(CAPACITY);
-    fillInTurns(IntStream.range(0, 9).mapToObj(i -> capacity.newShare()).toList());
+    fillInTurns(IntStream.range(0, 9).mapToObj(holder -> capacity.newShare()).toList());
     assertThat(capacity.used()).isBetween(9 * CAPACITY / 10L, 9 * (CAPACITY / 10L + 1));
     assertThat(capacity.newShare().isExceeded()).isFalse();
   }
--- a/src/test/java/switchgap/protocol/thrift/ThriftServerFloodTest.java
+++ b/src/test/java/switchgap/protocol/thrift/ThriftServerFloodTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -159,6 +160,9 @@
   /** More than the kernel's buffers of both sockets hold, so that only a reader takes all. */
   private static final int FLOOD_BYTES = 64 << 20;
 
+  /** Fits in one read. */
+  private static final int HEARTBEATS = 100;
+
   private static final long STALLED_AFTER_NANOS = 500_000_000;
 
   private interface FrameSource {
@@ -198,9 +202,14 @@
   }
 
   private static byte[] revoke(int sequenceId) throws Exception {
+    return call("revoke", TMessageType.ONEWAY, sequenceId);
+  }
+
+  /** Encodes a message without arguments. */
+  private static byte[] call(String method, byte type, int sequenceId) throws Exception {
     TMemoryBuffer buffer = new TMemoryBuffer(64);
     TBinaryProtocol protocol = new TBinaryProtocol(buffer);
-    protocol.writeMessageBegin(new TMessage("revoke", TMessageType.ONEWAY, sequenceId));
+    protocol.writeMessageBegin(new TMessage(method, type, sequenceId));
     protocol.writeFieldStop();
     byte[] frame = Arrays.copyOf(buffer.getArray(), buffer.length());
     return ThriftTestClient.withLengthPrefix(frame);
@@ -278,4 +287,30 @@
       }
     }
   }
+
+  /**
+   * The replies to the heartbeats of one read are sent together; none may be missing or doubled.
+   */
+  @Test
+  void answersEachHeartbeatOfOneReadBeforeItClosesAfterUnreadableMessage() throws Exception {
+    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
+    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
+        ThriftServer server = server(events)) {
+      server.listen(net, "127.0.0.1", 0);
+      try (Socket client = new Socket("127.0.0.1", server.port())) {
+        ByteArrayOutputStream messages = new ByteArrayOutputStream();
+        for (int sequenceId = 1; sequenceId <= HEARTBEATS; sequenceId++) {
+          messages.writeBytes(call("heartbeat", TMessageType.CALL, sequenceId));
+        }
+        messages.writeBytes(ThriftTestClient.withLengthPrefix(new byte[] {1, 2, 3, 4, 5}));
+        client.getOutputStream().write(messages.toByteArray());
+        client.setSoTimeout(5000);
+        byte[] replies = client.getInputStream().readAllBytes(); // until the server closes
+        BitSet answered = new BitSet();
+        new FrameDecoder(1 << 16)
+            .decode(ByteBuffer.wrap(replies), frame -> recordAnswer(answered, frame));
+        assertThat(answered.cardinality()).isEqualTo(HEARTBEATS);
+      }
+    }
+  }
 }
--- a/src/test/java/switchgap/router/InvariantMonitorTest.java
+++ b/src/test/java/switchgap/router/InvariantMonitorTest.java
@@ -67,6 +67,25 @@
       }
       case ATTEMPT_AFTER_DEADLINE -> monitor.beforeAttempt(first, Duration.ofMillis(1), DEADLINE);
       case TIMEOUT_PAST_DEADLINE -> monitor.beforeAttempt(first, Duration.ofMillis(1051), NOW);
+      case RETRY_OF_NON_IDEMPOTENT, RETRY_AFTER_DEDUPLICATION_WINDOW, ATTEMPT_SENT_TWICE ->
+          violateByRepeat(invariant, first);
+      case LOAD_TO_DRAINING_WORKER -> {
+        worker.stopAccepting();
+        monitor.beforeLoad(worker, NOW);
+      }
+      case SECOND_ANSWER -> {
+        monitor.beforeAnswer(request, NOW);
+        monitor.beforeAnswer(request, NOW);
+      }
+      case CLOSED_UNANSWERED -> monitor.afterClose("c1", false, 1, NOW);
+      case HEALTHY_WITHOUT_WORKERS -> monitor.beforeHealthy(false, NOW);
+      default -> throw new IllegalArgumentException(invariant + " has no violation in this test");
+    }
+  }
+
+  /** Repeats an attempt that must not be repeated. */
+  private void violateByRepeat(RouterInvariant invariant, Attempt first) {
+    switch (invariant) {
       case RETRY_OF_NON_IDEMPOTENT -> {
         // An attempt that timed out may have been executed.
         first.end(AttemptOutcome.TIMED_OUT);
@@ -81,16 +100,6 @@
         first.end(AttemptOutcome.NOT_SENT);
         checkBeforeSending(first);
       }
-      case LOAD_TO_DRAINING_WORKER -> {
-        worker.stopAccepting();
-        monitor.beforeLoad(worker, NOW);
-      }
-      case SECOND_ANSWER -> {
-        monitor.beforeAnswer(request, NOW);
-        monitor.beforeAnswer(request, NOW);
-      }
-      case CLOSED_UNANSWERED -> monitor.afterClose("c1", false, 1, NOW);
-      case HEALTHY_WITHOUT_WORKERS -> monitor.beforeHealthy(false, NOW);
       default -> throw new IllegalArgumentException(invariant + " has no violation in this test");
     }
   }
