Client reads: a partial message is due from its own read; pause before the reply limit

On a connection that is never read empty the receive timeout of the partial message at the end of each read counted from the arrival of much earlier bytes; it counts from its own read now (the requests' timeouts still count from the earliest possible arrival). And a connection's share could exceed the limit on unread replies, at which it is closed; a share is half of that limit at most, so that reading pauses first.

ThriftServerFloodTest.countsReceiveTimeoutOfPartialMessageFromItsOwnRead failed before.

--- a/src/main/java/switchgap/protocol/thrift/SharedCapacity.java
+++ b/src/main/java/switchgap/protocol/thrift/SharedCapacity.java
@@ -10,11 +10,17 @@
  */
 final class SharedCapacity {
   private final long capacity;
+  private final long maxShare;
   private final AtomicLong used = new AtomicLong();
 
-  /** Creates a capacity of which nothing is used. Holders must keep to it by themselves. */
-  SharedCapacity(long capacity) {
+  /**
+   * Creates a capacity of which nothing is used. Holders must keep to it by themselves.
+   *
+   * @param maxShare what one holder may use, however much is free
+   */
+  SharedCapacity(long capacity, long maxShare) {
     this.capacity = capacity;
+    this.maxShare = maxShare;
   }
 
   /** Creates the share of a new holder. */
@@ -63,9 +69,10 @@
       return held.get() <= 0;
     }
 
-    /** Whether this holder uses more than is free. */
+    /** Whether this holder uses more than is free, or more than any holder may. */
     boolean isExceeded() {
-      return held.get() > Math.max(0, capacity - used.get());
+      long free = Math.max(0, capacity - used.get());
+      return held.get() > Math.min(maxShare, free);
     }
   }
 }
--- a/src/main/java/switchgap/protocol/thrift/ThriftServer.java
+++ b/src/main/java/switchgap/protocol/thrift/ThriftServer.java
@@ -29,6 +29,9 @@
   /** Maximum bytes of one read; the frames in it may be queued past the connection's share. */
   static final int MAX_READ_BYTES = 4 << 10;
 
+  /** The limit on unread replies divided by this is the maximum heap of one connection. */
+  private static final int UNREAD_REPLY_LIMIT_DIVISOR = 2;
+
   /** Interval between evictions while there are too many connections. */
   private static final Duration EVICTION_INTERVAL = Duration.ofMillis(10);
 
@@ -80,7 +83,10 @@
     messageReader =
         new ClientMessageReader(
             requestHandler, new ClientMessageScheduler(requestHandler, eventLoop));
-    heap = new SharedCapacity(limits.maxRequestBytes());
+    // Reading pauses before the unread replies to what was read could reach their limit.
+    heap =
+        new SharedCapacity(
+            limits.maxRequestBytes(), limits.maxUnsentBytes() / UNREAD_REPLY_LIMIT_DIVISOR);
     stallDetector = new StallDetector(limits.sweepInterval(), clock.get());
   }
 
@@ -149,11 +155,11 @@
     ClientConnection connection = connectionOf(tcp);
     Duration receiveDelay = tcp.maxReceiveDelay();
     boolean isReadEmpty = bytes.remaining() < MAX_READ_BYTES;
-    Duration receivedAt =
-        connection.earliestReceivedAt(clock.get().minus(receiveDelay), receiveDelay, isReadEmpty);
+    Duration readAt = clock.get().minus(receiveDelay);
+    Duration receivedAt = connection.earliestReceivedAt(readAt, receiveDelay, isReadEmpty);
     Consumer<byte[]> frameHandler =
         frame -> messageReader.frameReceived(connection, frame, receivedAt);
-    boolean isWithinBounds = connection.receive(bytes, frameHandler, receivedAt);
+    boolean isWithinBounds = connection.receive(bytes, frameHandler, readAt);
     connection.sendBatchedReplies();
     if (!isWithinBounds) {
       connection.close(ClientCloseReason.FRAME_OUT_OF_BOUNDS);
--- a/src/test/java/switchgap/protocol/thrift/ReadFlowControlTest.java
+++ b/src/test/java/switchgap/protocol/thrift/ReadFlowControlTest.java
@@ -12,7 +12,7 @@
   private static final Duration LATER = Duration.ofMillis(800);
 
   private final ReadFlowControl flowControl =
-      new ReadFlowControl(null, new SharedCapacity(1).newShare(), () -> LATER, () -> {});
+      new ReadFlowControl(null, new SharedCapacity(1, 1).newShare(), () -> LATER, () -> {});
 
   /**
    * Guards against a timeout that is too long: a message arrives while the process stands still,
--- a/src/test/java/switchgap/protocol/thrift/SharedCapacityTest.java
+++ b/src/test/java/switchgap/protocol/thrift/SharedCapacityTest.java
@@ -25,22 +25,29 @@
 
   @Test
   void oneHolderLeavesAsMuchAsItUses() {
-    SharedCapacity capacity = new SharedCapacity(CAPACITY);
+    SharedCapacity capacity = new SharedCapacity(CAPACITY, CAPACITY);
     fill(capacity.newShare());
     assertThat(capacity.used()).isBetween(CAPACITY / 2L, CAPACITY / 2L + 1);
   }
 
   @Test
   void manyHoldersLeaveOneMoreShareFree() {
-    SharedCapacity capacity = new SharedCapacity(CAPACITY);
+    SharedCapacity capacity = new SharedCapacity(CAPACITY, CAPACITY);
     fillInTurns(IntStream.range(0, 9).mapToObj(holder -> capacity.newShare()).toList());
     assertThat(capacity.used()).isBetween(9 * CAPACITY / 10L, 9 * (CAPACITY / 10L + 1));
     assertThat(capacity.newShare().isExceeded()).isFalse();
   }
 
+  @Test
+  void shareIsLimitedHoweverMuchIsFree() {
+    SharedCapacity capacity = new SharedCapacity(CAPACITY, 100);
+    fill(capacity.newShare());
+    assertThat(capacity.used()).isEqualTo(101);
+  }
+
   @Test
   void releasedShareCountsNothingAnyMore() {
-    SharedCapacity capacity = new SharedCapacity(CAPACITY);
+    SharedCapacity capacity = new SharedCapacity(CAPACITY, CAPACITY);
     SharedCapacity.Share share = capacity.newShare();
     share.add(10);
     share.release();
--- a/src/test/java/switchgap/protocol/thrift/ThriftServerFloodTest.java
+++ b/src/test/java/switchgap/protocol/thrift/ThriftServerFloodTest.java
@@ -17,7 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TBinaryProtocol;
 import org.apache.thrift.protocol.TMessage;
@@ -39,6 +41,8 @@
  */
 class ThriftServerFloodTest {
   private static final int QUEUE_BYTES = 1000;
+  private static final Duration RECEIVE_TIMEOUT = Duration.ofSeconds(10);
+  private static final long SWEEP_MILLIS = 200;
   private static final int STRICT_CALL = 0x80010001;
   private static final int STRING_TYPE = 11;
 
@@ -74,15 +78,21 @@
 
   private static ThriftServer server(ConcurrentLinkedQueue<Consumer<RouterCore>> events)
       throws Exception {
+    return server(events, QUEUE_BYTES, () -> Duration.ZERO);
+  }
+
+  private static ThriftServer server(
+      ConcurrentLinkedQueue<Consumer<RouterCore>> events, int queueBytes, Supplier<Duration> clock)
+      throws Exception {
     ClientConnectionLimits limits =
         new ClientConnectionLimits(
-            10, 10, 1 << 16, QUEUE_BYTES, 10, Duration.ofSeconds(10), Duration.ofMillis(200));
+            10, 10, 1 << 20, queueBytes, 10, RECEIVE_TIMEOUT, Duration.ofMillis(SWEEP_MILLIS));
     return new ThriftServer(
         TestPlatformSettings.routerSettings(),
         Map.of(),
         Map.of(),
         limits,
-        () -> Duration.ZERO,
+        clock,
         events::add,
         TestDiagnostics.create());
   }
@@ -313,4 +323,53 @@
       }
     }
   }
+
+  /**
+   * Guards against a receive timeout that counts from the arrival of earlier messages: a read fills
+   * the buffer, so the bytes of the next one may be as old, but its partial message is not.
+   */
+  @Test
+  void countsReceiveTimeoutOfPartialMessageFromItsOwnRead() throws Exception {
+    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
+    AtomicLong millis = new AtomicLong();
+    RouterCore core = idleCore();
+    ByteArrayOutputStream messages = new ByteArrayOutputStream();
+    while (messages.size() < 2 * ThriftServer.MAX_READ_BYTES) {
+      messages.writeBytes(call("heartbeat", TMessageType.CALL, 1));
+    }
+    int messageBytes = call("heartbeat", TMessageType.CALL, 1).length;
+    byte[] bytes = messages.toByteArray();
+    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
+        ThriftServer server = server(events, 1 << 20, () -> Duration.ofMillis(millis.get()))) {
+      server.listen(net, "127.0.0.1", 0);
+      try (Socket client = new Socket("127.0.0.1", server.port())) {
+        client.setSoTimeout(5000);
+        client.getOutputStream().write(bytes, 0, ThriftServer.MAX_READ_BYTES);
+        readReplies(client, ThriftServer.MAX_READ_BYTES / messageBytes);
+        core.tick(Duration.ZERO, List.copyOf(events));
+        advance(server, millis, RECEIVE_TIMEOUT.toMillis() * 6 / 10);
+        client.getOutputStream().write(bytes, ThriftServer.MAX_READ_BYTES, messageBytes);
+        readReplies(client, 1);
+        advance(server, millis, RECEIVE_TIMEOUT.toMillis() * 6 / 10);
+        assertThat(server.openConnections()).isEqualTo(1);
+        advance(server, millis, RECEIVE_TIMEOUT.toMillis());
+        assertThat(server.openConnections()).as("overdue by now").isZero();
+      }
+    }
+  }
+
+  private static void readReplies(Socket client, int count) throws IOException {
+    DataInputStream input = new DataInputStream(client.getInputStream());
+    for (int i = 0; i < count; i++) {
+      input.readNBytes(input.readInt());
+    }
+  }
+
+  /** Lets the time pass in steps in which overdue connections are closed. */
+  private static void advance(ThriftServer server, AtomicLong millis, long span) {
+    for (long end = millis.get() + span; millis.get() < end; ) {
+      millis.addAndGet(SWEEP_MILLIS);
+      server.closeOverdueConnections(Duration.ofMillis(millis.get()));
+    }
+  }
 }
