--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -166,6 +166,16 @@
     return start(root, deployCommand(root, "run"), environment, temporary("router.log"));
   }
 
+  /** The processor time of a process, in seconds. */
+  static double processorSeconds(Process process) throws IOException {
+    Path stat = Path.of("/proc/" + process.pid() + "/stat");
+    if (!process.isAlive() || !Files.exists(stat)) {
+      return 0;
+    }
+    String[] fields = Files.readString(stat).split(" ");
+    return (Long.parseLong(fields[13]) + Long.parseLong(fields[14])) / 100.0;
+  }
+
   /** The resident memory of a process, as the system tells it. */
   static String residentMemory(Process process) throws IOException {
     Path status = Path.of("/proc/" + process.pid() + "/status");
@@ -517,6 +527,8 @@
   static final class Farm {
     final Selector selector = Selector.open();
     final Behaviour behaviour;
+    private final Map<Worker, Queue<Channel>> channels = new ConcurrentHashMap<>();
+    private final Queue<Worker> ending = new ConcurrentLinkedQueue<>();
 
     Farm(Behaviour behaviour) throws IOException {
       this.behaviour = behaviour;
@@ -526,7 +538,23 @@
       ServerSocketChannel server = ServerSocketChannel.open();
       server.bind(worker.address, 128);
       server.configureBlocking(false);
+      channels.put(worker, new ConcurrentLinkedQueue<>(List.of(server)));
       server.register(selector, SelectionKey.OP_ACCEPT, worker);
+      selector.wakeup();
+    }
+
+    /** Ends a model server: its port and its connections are closed. */
+    void end(Worker worker) {
+      ending.add(worker);
+      selector.wakeup();
+    }
+
+    private void endWorkers() throws IOException {
+      for (Worker worker = ending.poll(); worker != null; worker = ending.poll()) {
+        for (Channel channel : channels.remove(worker)) {
+          channel.close();
+        }
+      }
     }
 
     void start() {
@@ -539,24 +567,29 @@
           selector.select();
           for (SelectionKey key : selector.selectedKeys()) {
             if (key.isAcceptable()) {
-              SocketChannel channel = ((ServerSocketChannel) key.channel()).accept();
-              if (channel != null) {
-                channel.configureBlocking(false);
-                channel.socket().setTcpNoDelay(true);
-                Link link = new Link(channel, (Worker) key.attachment());
-                channel.register(selector, SelectionKey.OP_READ, link);
-              }
+              accept((ServerSocketChannel) key.channel(), (Worker) key.attachment());
             } else {
               read(key);
             }
           }
           selector.selectedKeys().clear();
+          endWorkers();
         } catch (IOException e) {
           record("farm: " + e);
         }
       }
     }
 
+    private void accept(ServerSocketChannel server, Worker worker) throws IOException {
+      SocketChannel channel = server.accept();
+      if (channel != null) {
+        channel.configureBlocking(false);
+        channel.socket().setTcpNoDelay(true);
+        channels.get(worker).add(channel);
+        channel.register(selector, SelectionKey.OP_READ, new Link(channel, worker));
+      }
+    }
+
     private void read(SelectionKey key) throws IOException {
       Link link = (Link) key.attachment();
       try {
