--- a/review/kit-2/CancelledWhileWaiting.java
+++ b/review/kit-2/CancelledWhileWaiting.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Case 8: clients give up while their calls wait in the gateway for a connection to a model server.
+ * Case 10: clients give up while their calls wait in the gateway for a connection to a model server.
  * Half of them delete deferred calls, the others close the connections of synchronous ones.
  */
 final class CancelledWhileWaiting {
--- a/review/kit-2/DeferredAtStop.java
+++ b/review/kit-2/DeferredAtStop.java
@@ -4,7 +4,7 @@
 import java.util.*;
 
 /**
- * Case 7: a gateway gets SIGTERM while deferred calls of a run-once workload run, and is started
+ * Case 8: a gateway gets SIGTERM while deferred calls of a run-once workload run, and is started
  * again. Their clients ask for the results five times a second until the time limit has passed.
  */
 final class DeferredAtStop {
--- a/review/kit-2/Http.java
+++ b/review/kit-2/Http.java
@@ -48,16 +48,20 @@
       String body = new String(exchange.getRequestBody().readAllBytes());
       String path = exchange.getRequestURI().getPath();
       if (path.endsWith("/infer")) {
-        Kit.record(name + " begins to execute " + body + " (POST " + path + ")");
-        begunAt.put(body, Kit.seconds());
-        executed.add(body);
-        Kit.sleep(workSeconds);
-        reply(exchange, 200, "done " + body);
+        infer(exchange, path, body);
       } else {
         reply(exchange, 200, "{}");
       }
     }
 
+    void infer(HttpExchange exchange, String path, String body) throws IOException {
+      Kit.record(name + " begins to execute " + body + " (POST " + path + ")");
+      begunAt.put(body, Kit.seconds());
+      executed.add(body);
+      Kit.sleep(workSeconds);
+      reply(exchange, 200, "done " + body);
+    }
+
     static void reply(HttpExchange exchange, int status, String body) throws IOException {
       String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
       if (id != null) {
@@ -72,12 +76,20 @@
   /** Writes the document of a gateway with one run-once workload, as docs/router.md shows it. */
   static void writeGatewayPage(
       int port, List<ModelServer> servers, String routerKeys, String sections) throws IOException {
+    String runOnce =
+        "{start_target: 2s, time_limit: 5s, importance: 2, late_share: 0.3, repeat: run-once}";
+    writeGatewayPage(port, servers, runOnce, routerKeys, sections);
+  }
+
+  /** Writes the document of a gateway with one workload. */
+  static void writeGatewayPage(
+      int port, List<? extends ModelServer> servers, String workload, String routerKeys, String sections)
+      throws IOException {
     StringBuilder page = new StringBuilder();
     page.append("router: {number: 0, of: 1, zone: hall-a, tick: 10ms, executions: 3,");
     page.append(" most_come_back: 1s").append(routerKeys).append("}\n");
     page.append("zones: [hall-a]\nkinds: {gen2: {memory: 6000}}\n");
-    page.append("workloads:\n  notice-send: {start_target: 2s, time_limit: 5s, importance: 2,");
-    page.append(" late_share: 0.3, repeat: run-once}\n");
+    page.append("workloads:\n  notice-send: ").append(workload).append("\n");
     page.append("customers: {mobila-dor: {rate: 60}}\n");
     page.append("functions:\n  \"notice-*\": {workload: notice-send, memory: 450, lanes: 4,");
     page.append(" load_time: 750ms}\n");
