--- a/review/kit-2/Replacement.java
+++ b/review/kit-2/Replacement.java
@@ -14,7 +14,7 @@
   static final double REPLACED_SHARE = 0.6;
   static final double REPLACED_WITHIN = 7;
   static final double DRAIN_SECONDS = 2;
-  static final int FUNCTIONS = 134;
+  static final int FUNCTIONS = 300;
   static final int CONNECTIONS = 8;
   static final double REQUESTS_A_SECOND = 170;
   static final double TROUBLE_FROM = 10;
