--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -18,6 +18,9 @@
   private static PrintWriter recordFile;
   private static Path temporary;
 
+  /** For this long a process may keep processor time that it has not used. */
+  private static final double SHARE_PERIOD = 0.1;
+
   private Kit() {}
 
   static Thread daemon(Runnable r, String name) {
@@ -153,10 +156,22 @@
   static Process startRouter(
       Path root, InetSocketAddress listen, Feed feed, String targets, String settings)
       throws IOException {
+    return startRouter(root, listen, feed, targets, settings, 1);
+  }
+
+  /** Starts a router that is told its share of a core; see {@link #limitProcessor}. */
+  static Process startRouter(
+      Path root,
+      InetSocketAddress listen,
+      Feed feed,
+      String targets,
+      String settings,
+      double cores)
+      throws IOException {
     String address = listen.getHostString() + ":" + listen.getPort();
     String config =
         "{\"name\":\"n1\",\"listen\":\"" + address + "\",\"seed\":\"8c1f30d27a5be964\","
-            + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"feed\":\""
+            + "\"limits\":{\"cores\":" + cores + ",\"memory_mb\":192,\"sockets\":1024},\"feed\":\""
             + feed.address() + "\",\"known\":{\"n\":1,\"events\":[{\"n\":1,\"members\":{\"rev\":1,"
             + "\"all\":true,\"targets\":[" + targets + "]}}]},\"settings\":" + settings + "}";
     Path file = temporary("config.json");
@@ -166,6 +181,43 @@
     return start(root, deployCommand(root, "run"), environment, temporary("router.log"));
   }
 
+  /**
+   * Keeps a process to its share of a core, as the platform does: it is stopped while it has used
+   * more processor time than its share. Unused time is kept for 0.1 s at most.
+   */
+  static void limitProcessor(Process process, double share) throws IOException {
+    Process shell = new ProcessBuilder("/bin/sh").start();
+    PROCESSES.add(shell);
+    Writer signals = new OutputStreamWriter(shell.getOutputStream(), StandardCharsets.US_ASCII);
+    daemon(
+            () -> {
+              try {
+                double credit = share * SHARE_PERIOD;
+                double last = seconds();
+                double lastUsed = processorSeconds(process);
+                boolean stopped = false;
+                while (process.isAlive()) {
+                  sleep(0.005);
+                  double now = seconds();
+                  double used = processorSeconds(process);
+                  credit += share * (now - last) - (used - lastUsed);
+                  credit = Math.min(credit, share * SHARE_PERIOD);
+                  last = now;
+                  lastUsed = used;
+                  if (stopped != credit < 0) {
+                    stopped = credit < 0;
+                    signals.write("kill -" + (stopped ? "STOP " : "CONT ") + process.pid() + "\n");
+                    signals.flush();
+                  }
+                }
+              } catch (IOException e) {
+                record("share of a core: " + e); // the process has ended
+              }
+            },
+            "share")
+        .start();
+  }
+
   /** The processor time of a process, in seconds. */
   static double processorSeconds(Process process) throws IOException {
     Path stat = Path.of("/proc/" + process.pid() + "/stat");
--- a/review/kit-2/Replacement.java
+++ b/review/kit-2/Replacement.java
@@ -17,8 +17,15 @@
   static final int FUNCTIONS = 300;
   static final int CONNECTIONS = 8;
   static final double REQUESTS_A_SECOND = 170;
-  static final double TROUBLE_FROM = 10;
-  static final double SENDING_END = 26;
+
+  /** The router's share of a core; its configuration states it. */
+  static final double CORES = 0.5;
+
+  /** The traffic rises to its full rate within this time. */
+  static final double RISE_SECONDS = 25;
+
+  static final double TROUBLE_FROM = 35;
+  static final double SENDING_END = 51;
   static final double WORK_SECONDS = 0.02;
   static final double LOAD_SECONDS = 0.7;
 
@@ -67,7 +74,8 @@
     feed = new Kit.Feed(1);
     InetSocketAddress router = new InetSocketAddress("127.0.0.1", Kit.freePort("127.0.0.1"));
     Process process =
-        Kit.startRouter(root, router, feed, targets.toString(), Settings.of(100, 0));
+        Kit.startRouter(root, router, feed, targets.toString(), Settings.of(100, 0), CORES);
+    Kit.limitProcessor(process, CORES);
     Kit.awaitReady(router, process);
     Kit.record(WORKERS + " model servers are listed");
     List<Kit.Client> clients = new ArrayList<>();
@@ -85,7 +93,8 @@
     double next = start;
     double nextReport = start;
     while (Kit.seconds() < start + SENDING_END && process.isAlive()) {
-      next += 1 / REQUESTS_A_SECOND;
+      double risen = Math.min(1, (Kit.seconds() - start + 1) / RISE_SECONDS);
+      next += 1 / (REQUESTS_A_SECOND * risen);
       Kit.sleep(next - Kit.seconds());
       send(clients.get(random.nextInt(CONNECTIONS)), functions[random.nextInt(FUNCTIONS)]);
       if (Kit.seconds() > nextReport) {
