Client reads: ArrivalTimes holds when bytes may have arrived; repeat limit asked of the request

Cause: ClientConnection and ReadFlowControl each held a part of the question since when bytes may have waited in the socket, and PolicyState answered for a request what only the request knows.

ThriftServerFloodTest starts its server in one place, ThriftTestClient encodes invalid submits too; no assertion changes.

--- a/src/main/java/switchgap/policy/RetryPolicy.java
+++ b/src/main/java/switchgap/policy/RetryPolicy.java
@@ -39,19 +39,19 @@
    */
   private boolean isRepeatableAt(Request request, Worker worker) {
     return request.isIdempotent()
-        || (isRepeatable(request) && request.isInDeduplicationScope(worker));
+        || (isStillRepeatable(request) && request.isInDeduplicationScope(worker));
   }
 
   /** Whether the request may be executed again now, at least at some workers. */
-  private boolean isRepeatable(Request request) {
-    Duration until = state.repeatableUntil(request);
+  private boolean isStillRepeatable(Request request) {
+    Duration until = request.repeatableUntil(state.minDeadlineMargin);
     return request.isRepeatable() && (until == null || !state.hasPassed(until));
   }
 
   /** Whether a request without an attempt in flight may be attempted again, now or later. */
   boolean mayRetry(Request request) {
     return !request.hasReachedAttempts(state.settings.maxAttempts)
-        && (request.neverExecuted() || isRepeatable(request))
+        && (request.neverExecuted() || isStillRepeatable(request))
         && endsInTime(request, LoadEstimator.medianDuration(request.requestClass));
   }
 
--- a/src/main/java/switchgap/policy/state/ActionDispatcher.java
+++ b/src/main/java/switchgap/policy/state/ActionDispatcher.java
@@ -71,7 +71,7 @@
 
   /** Limits attempts of a request to the time for which it may be repeated, if it has changed. */
   private void limitAttempts(Request request) {
-    Duration limit = state.repeatableUntil(request);
+    Duration limit = request.repeatableUntil(state.minDeadlineMargin);
     if (!Objects.equals(limit, request.attemptLimit())) {
       request.attemptsLimited(limit);
       state.actions().limitAttempts(request.id, limit);
--- a/src/main/java/switchgap/policy/state/PolicyState.java
+++ b/src/main/java/switchgap/policy/state/PolicyState.java
@@ -135,18 +135,6 @@
     return worker.startedAt() != null && isWithin(settings.warmUpDuration, worker.startedAt());
   }
 
-  /**
-   * Until when attempts of a request may be sent, as workers drop repeats only for a limited time;
-   * null for no limit. It has no meaning for a request that may not be repeated at all.
-   */
-  public Duration repeatableUntil(Request request) {
-    if (request.isIdempotent() || request.neverExecuted()) {
-      return null;
-    }
-    Duration window = request.requestClass.deduplicationWindow.minus(minDeadlineMargin);
-    return request.firstSentAt().plus(window);
-  }
-
   /** Sets the time until which the endpoint list is confirmed. */
   public void endpointListConfirmedUntil(Duration time) {
     boolean wasConfirmed = !isListUnconfirmed();
--- a/src/main/java/switchgap/policy/state/Request.java
+++ b/src/main/java/switchgap/policy/state/Request.java
@@ -37,7 +37,10 @@
   private int inFlight;
   private int possibleExecutions;
   private Worker firstWorker;
+
+  /** When the first attempt that may have executed was sent. */
   private Duration firstSentAt;
+
   private Duration attemptLimit;
   private Worker suspectWorker;
   private Duration probeDeadline;
@@ -137,9 +140,17 @@
     };
   }
 
-  /** When the first attempt that may have executed was sent. */
-  public Duration firstSentAt() {
-    return firstSentAt;
+  /**
+   * Until when attempts may be sent, as workers drop repeats only for a limited time; null for no
+   * limit. It has no meaning for a request that may not be repeated at all.
+   *
+   * @param margin time before the end of the workers' deduplication window
+   */
+  public Duration repeatableUntil(Duration margin) {
+    if (isIdempotent() || neverExecuted()) {
+      return null;
+    }
+    return firstSentAt.plus(requestClass.deduplicationWindow).minus(margin);
   }
 
   /** The limit that was last passed to the core, after which no attempt is sent; or null. */
--- a/src/main/java/switchgap/protocol/resp/RespExchange.java
+++ b/src/main/java/switchgap/protocol/resp/RespExchange.java
@@ -128,12 +128,12 @@
     Duration now = Duration.ofNanos(nowNanos);
     return state == State.WAITING
         && (allowedWhileDraining || worker.isAccepting(now))
-        && (attempt == null || mayAttempt(now));
+        && (attempt == null || (mayAttempt(now) && !isOverdue(nowNanos)));
   }
 
   private boolean mayAttempt(Duration now) {
     PendingRequest request = attempt.request();
-    return request.isAwaited() && request.mayAttemptAt(now) && !isOverdue(now.toNanos());
+    return request.isAwaited() && request.mayAttemptAt(now);
   }
 
   /** Whether the deadline has passed. */
--- a/src/main/java/switchgap/protocol/thrift/ClientConnection.java
+++ b/src/main/java/switchgap/protocol/thrift/ClientConnection.java
@@ -18,12 +18,10 @@
  * flight belong to the event loop. Fields that both threads use are volatile or concurrent.
  */
 final class ClientConnection {
-  /** Value of {@link #firstReadReceivedAt} if the bytes of the first read had not waited. */
-  private static final Duration NO_EARLIER_BOUND = Duration.ofSeconds(Long.MAX_VALUE);
-
   private final TcpConnection connection;
   private final Supplier<Duration> clock;
   private final MessageReceiver receiver;
+  private final ArrivalTimes arrivals = new ArrivalTimes();
 
   /** Requests in flight by sequence id. Event loop only. */
   private final Map<Integer, PendingRequest> inFlight = new HashMap<>();
@@ -44,9 +42,6 @@
    */
   private final Map<Integer, Duration> revokedAt = new ConcurrentHashMap<>();
 
-  /** Earliest possible arrival of the first read's bytes; null before it. Selector thread only. */
-  private Duration firstReadReceivedAt;
-
   /** Whether the event loop is evicting the connection, so that messages read now are rejected. */
   private volatile boolean isEvicting;
 
@@ -74,8 +69,7 @@
     receiver = new MessageReceiver(openedAt);
     replies = new ReplySender(connection, heap, maxUnsentBytes);
     messageQueue = new ClientMessageQueue(heap);
-    flowControl =
-        new ReadFlowControl(connection, heap, clock, () -> receiver.restartDueTime(clock.get()));
+    flowControl = new ReadFlowControl(connection, heap, clock, receiver, arrivals);
     lastActiveNanos = openedAt.toNanos();
   }
 
@@ -148,25 +142,9 @@
 
   // ------------------------------------------------------------------ selector thread only
 
-  /**
-   * Returns the earliest time at which the bytes of the current read may have arrived. If the bytes
-   * of the first read had waited in the kernel, the rest of the first message may have waited as
-   * long, even if it is read in several parts. So may bytes that an earlier read left in the
-   * socket.
-   *
-   * @param receivedAt the earliest arrival time that follows from this read alone
-   * @param receiveDelay the maximum time that the bytes of this read may have waited
-   * @param isReadEmpty whether this read leaves no bytes in the socket
-   */
+  /** Returns the earliest time at which the bytes of the current read may have arrived. */
   Duration earliestReceivedAt(Duration receivedAt, Duration receiveDelay, boolean isReadEmpty) {
-    Duration earliest = flowControl.earliestReceivedAt(receivedAt, isReadEmpty);
-    if (receiver.hasReceivedMessage()) {
-      return earliest;
-    }
-    if (firstReadReceivedAt == null) {
-      firstReadReceivedAt = receiveDelay.isZero() ? NO_EARLIER_BOUND : receivedAt;
-    }
-    return firstReadReceivedAt.compareTo(earliest) < 0 ? firstReadReceivedAt : earliest;
+    return arrivals.earliest(receivedAt, receiveDelay, isReadEmpty, receiver.hasReceivedMessage());
   }
 
   /** Passes complete frames to the handler; returns false once a length is out of bounds. */
--- a/src/main/java/switchgap/protocol/thrift/ReadFlowControl.java
+++ b/src/main/java/switchgap/protocol/thrift/ReadFlowControl.java
@@ -14,30 +14,28 @@
   private final TcpConnection connection;
   private final SharedCapacity.Share heap;
   private final Supplier<Duration> clock;
-  private final Runnable beforeResume;
+  private final MessageReceiver receiver;
+  private final ArrivalTimes arrivals;
   private final AtomicBoolean isPaused = new AtomicBoolean();
 
-  /**
-   * Time since which bytes may have been waiting in the socket, because it has not been read empty
-   * since; null if none can. Selector thread only.
-   */
-  private Duration unreadSince;
-
   /**
    * Creates the flow control of a connection that is being read.
    *
    * @param clock returns the time since the router's start
-   * @param beforeResume runs before reading resumes, on the thread that resumes it
+   * @param receiver no message is due while reading is paused
+   * @param arrivals bytes may wait in the socket while reading is paused
    */
   ReadFlowControl(
       TcpConnection connection,
       SharedCapacity.Share heap,
       Supplier<Duration> clock,
-      Runnable beforeResume) {
+      MessageReceiver receiver,
+      ArrivalTimes arrivals) {
     this.connection = connection;
     this.heap = heap;
     this.clock = clock;
-    this.beforeResume = beforeResume;
+    this.receiver = receiver;
+    this.arrivals = arrivals;
   }
 
   // ------------------------------------------------------------------ callable on any thread
@@ -49,7 +47,7 @@
   /** Resumes reading if it is paused and the connection holds no heap any more. */
   void resumeIfDrained() {
     if (isPaused.get() && heap.isEmpty() && isPaused.compareAndSet(true, false)) {
-      beforeResume.run();
+      receiver.restartDueTime(clock.get());
       connection.resumeReading();
     }
   }
@@ -61,26 +59,10 @@
     if (!heap.isExceeded()) {
       return false;
     }
-    if (unreadSince == null) {
-      unreadSince = clock.get();
-    }
+    arrivals.readingPaused(clock.get());
     connection.pauseReading();
     isPaused.set(true);
     resumeIfDrained(); // the event loop may have emptied the queue before the pause was marked
     return true;
   }
-
-  /**
-   * Returns the earliest time at which bytes that are read now may have arrived: as early as those
-   * of the reads before, if these left bytes in the socket.
-   *
-   * @param receivedAt the earliest time if the socket was empty before
-   * @param isReadEmpty whether this read leaves no bytes in the socket
-   */
-  Duration earliestReceivedAt(Duration receivedAt, boolean isReadEmpty) {
-    boolean mayBeOlder = unreadSince != null && unreadSince.compareTo(receivedAt) < 0;
-    Duration earliest = mayBeOlder ? unreadSince : receivedAt;
-    unreadSince = isReadEmpty ? null : earliest;
-    return earliest;
-  }
 }
--- a/src/test/java/switchgap/protocol/thrift/ThriftServerFloodTest.java
+++ b/src/test/java/switchgap/protocol/thrift/ThriftServerFloodTest.java
@@ -19,12 +19,12 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TBinaryProtocol;
 import org.apache.thrift.protocol.TMessage;
 import org.apache.thrift.protocol.TMessageType;
 import org.apache.thrift.transport.TMemoryBuffer;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import switchgap.net.FrameDecoder;
 import switchgap.net.NetworkTransport;
@@ -36,8 +36,8 @@
 import switchgap.testing.TestDiagnostics;
 
 /**
- * Messages that arrive faster than the event loop handles them. The event loop of these tests never
- * runs.
+ * Messages that arrive faster than the event loop handles them. Tests run the events of the loop by
+ * themselves, or not at all.
  */
 class ThriftServerFloodTest {
   private static final int QUEUE_BYTES = 1000;
@@ -76,25 +76,36 @@
     }
   }
 
-  private static ThriftServer server(ConcurrentLinkedQueue<Consumer<RouterCore>> events)
-      throws Exception {
-    return server(events, QUEUE_BYTES, () -> Duration.ZERO);
-  }
+  private final ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
+
+  /** Time since the server's start. */
+  private final AtomicLong millis = new AtomicLong();
 
-  private static ThriftServer server(
-      ConcurrentLinkedQueue<Consumer<RouterCore>> events, int queueBytes, Supplier<Duration> clock)
-      throws Exception {
+  private NetworkTransport network;
+  private ThriftServer server;
+
+  /** Starts the server; the event loop's events are collected in {@link #events}. */
+  private void start(int queueBytes) throws Exception {
     ClientConnectionLimits limits =
         new ClientConnectionLimits(
             10, 10, 1 << 20, queueBytes, 10, RECEIVE_TIMEOUT, Duration.ofMillis(SWEEP_MILLIS));
-    return new ThriftServer(
-        TestPlatformSettings.routerSettings(),
-        Map.of(),
-        Map.of(),
-        limits,
-        clock,
-        events::add,
-        TestDiagnostics.create());
+    network = new NetworkTransport(1, "flood-test");
+    server =
+        new ThriftServer(
+            TestPlatformSettings.routerSettings(),
+            Map.of(),
+            Map.of(),
+            limits,
+            () -> Duration.ofMillis(millis.get()),
+            events::add,
+            TestDiagnostics.create());
+    server.listen(network, "127.0.0.1", 0);
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+    network.close();
   }
 
   /**
@@ -104,24 +115,20 @@
    */
   @Test
   void queuesSubmitOfOtherClientWhenOneHasFilledTheQueue() throws Exception {
-    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
-    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
-        ThriftServer server = server(events)) {
-      server.listen(net, "127.0.0.1", 0);
-      try (Socket floodingClient = new Socket("127.0.0.1", server.port());
-          Socket otherClient = new Socket("127.0.0.1", server.port())) {
-        submit(floodingClient, 1, 600);
-        assertThat(isClosed(floodingClient)).isFalse(); // the submit has been read by now
-        submit(floodingClient, 2, 600);
-        long queuedBefore = server.queuedHeapBytes();
-        int eventsBefore = events.size();
-        submit(otherClient, 7, 600);
-        assertThat(isClosed(otherClient)).isFalse();
-        assertThat(otherClient.getInputStream().available()).as("bytes of replies").isZero();
-        assertThat(events.size()).isEqualTo(eventsBefore + 1);
-        assertThat(server.queuedHeapBytes()).isGreaterThan(queuedBefore + 600);
-        assertThat(isClosed(floodingClient)).isFalse();
-      }
+    start(QUEUE_BYTES);
+    try (Socket floodingClient = new Socket("127.0.0.1", server.port());
+        Socket otherClient = new Socket("127.0.0.1", server.port())) {
+      submit(floodingClient, 1, 600);
+      assertThat(isClosed(floodingClient)).isFalse(); // the submit has been read by now
+      submit(floodingClient, 2, 600);
+      long queuedBefore = server.queuedHeapBytes();
+      int eventsBefore = events.size();
+      submit(otherClient, 7, 600);
+      assertThat(isClosed(otherClient)).isFalse();
+      assertThat(otherClient.getInputStream().available()).as("bytes of replies").isZero();
+      assertThat(events.size()).isEqualTo(eventsBefore + 1);
+      assertThat(server.queuedHeapBytes()).isGreaterThan(queuedBefore + 600);
+      assertThat(isClosed(floodingClient)).isFalse();
     }
   }
 
@@ -131,39 +138,31 @@
    */
   @Test
   void closedConnectionUsesNoCapacity() throws Exception {
-    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
-    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
-        ThriftServer server = server(events)) {
-      server.listen(net, "127.0.0.1", 0);
-      try (Socket client = new Socket("127.0.0.1", server.port())) {
-        submit(client, 1, 100);
-        assertThat(isClosed(client)).isFalse(); // the submit has been read by now
-        assertThat(server.queuedHeapBytes()).isGreaterThan(100);
-      }
-      for (int i = 0; i < 1000 && server.openConnections() > 0; i++) {
-        Thread.sleep(1);
-      }
-      assertThat(server.queuedHeapBytes()).isZero();
+    start(QUEUE_BYTES);
+    try (Socket client = new Socket("127.0.0.1", server.port())) {
+      submit(client, 1, 100);
+      assertThat(isClosed(client)).isFalse(); // the submit has been read by now
+      assertThat(server.queuedHeapBytes()).isGreaterThan(100);
+    }
+    for (int i = 0; i < 1000 && server.openConnections() > 0; i++) {
+      Thread.sleep(1);
     }
+    assertThat(server.queuedHeapBytes()).isZero();
   }
 
   /** The read that exceeds the share is the last one, however many messages follow. */
   @Test
   void queuedMessagesExceedTheCapacityByAtMostOneReadPerConnection() throws Exception {
-    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
-    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
-        ThriftServer server = server(events)) {
-      server.listen(net, "127.0.0.1", 0);
-      try (Socket client = new Socket("127.0.0.1", server.port())) {
-        for (int number = 1; number <= 2000; number++) {
-          submit(client, number, 0);
-        }
-        assertThat(isClosed(client)).isFalse();
-        long maxMessagesPerRead = ThriftServer.MAX_READ_BYTES / MIN_SUBMIT_BYTES + 1;
-        long maxBytesPerRead =
-            ThriftServer.MAX_READ_BYTES + maxMessagesPerRead * QueuedMessage.OVERHEAD_BYTES;
-        assertThat(server.queuedHeapBytes()).isBetween(1L, QUEUE_BYTES + maxBytesPerRead);
+    start(QUEUE_BYTES);
+    try (Socket client = new Socket("127.0.0.1", server.port())) {
+      for (int number = 1; number <= 2000; number++) {
+        submit(client, number, 0);
       }
+      assertThat(isClosed(client)).isFalse();
+      long maxMessagesPerRead = ThriftServer.MAX_READ_BYTES / MIN_SUBMIT_BYTES + 1;
+      long maxBytesPerRead =
+          ThriftServer.MAX_READ_BYTES + maxMessagesPerRead * QueuedMessage.OVERHEAD_BYTES;
+      assertThat(server.queuedHeapBytes()).isBetween(1L, QUEUE_BYTES + maxBytesPerRead);
     }
   }
 
@@ -235,9 +234,7 @@
   }
 
   /** Runs the events, as the event loop does, until the client has as many replies. */
-  private static void runUntilAnswered(
-      ConcurrentLinkedQueue<Consumer<RouterCore>> events, SocketChannel channel, int replies)
-      throws Exception {
+  private void runUntilAnswered(SocketChannel channel, int replies) throws Exception {
     RouterCore core = idleCore();
     BitSet answered = new BitSet();
     ByteBuffer received = ByteBuffer.allocate(1 << 20);
@@ -270,31 +267,23 @@
    */
   @Test
   void stopsReadingSubmitsAndAnswersAllOnceTheLoopRuns() throws Exception {
-    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
-    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
-        ThriftServer server = server(events)) {
-      server.listen(net, "127.0.0.1", 0);
-      try (SocketChannel client =
-          SocketChannel.open(new InetSocketAddress("127.0.0.1", server.port()))) {
-        int sent = floodUntilStalled(client, ThriftServerFloodTest::invalidSubmit);
-        runUntilAnswered(events, client, sent);
-        assertThat(server.queuedHeapBytes()).isLessThan(QUEUE_BYTES);
-      }
+    start(QUEUE_BYTES);
+    try (SocketChannel client =
+        SocketChannel.open(new InetSocketAddress("127.0.0.1", server.port()))) {
+      int sent = floodUntilStalled(client, ThriftServerFloodTest::invalidSubmit);
+      runUntilAnswered(client, sent);
+      assertThat(server.queuedHeapBytes()).isLessThan(QUEUE_BYTES);
     }
   }
 
   /** Guards against revokes that end their connection once too many are queued. */
   @Test
   void stopsReadingRevokesAndKeepsTheConnection() throws Exception {
-    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
-    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
-        ThriftServer server = server(events)) {
-      server.listen(net, "127.0.0.1", 0);
-      try (SocketChannel client =
-          SocketChannel.open(new InetSocketAddress("127.0.0.1", server.port()))) {
-        assertThat(floodUntilStalled(client, ThriftServerFloodTest::revoke)).isPositive();
-        assertThat(server.openConnections()).isEqualTo(1);
-      }
+    start(QUEUE_BYTES);
+    try (SocketChannel client =
+        SocketChannel.open(new InetSocketAddress("127.0.0.1", server.port()))) {
+      assertThat(floodUntilStalled(client, ThriftServerFloodTest::revoke)).isPositive();
+      assertThat(server.openConnections()).isEqualTo(1);
     }
   }
 
@@ -303,24 +292,20 @@
    */
   @Test
   void answersEachHeartbeatOfOneReadBeforeItClosesAfterUnreadableMessage() throws Exception {
-    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
-    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
-        ThriftServer server = server(events)) {
-      server.listen(net, "127.0.0.1", 0);
-      try (Socket client = new Socket("127.0.0.1", server.port())) {
-        ByteArrayOutputStream messages = new ByteArrayOutputStream();
-        for (int sequenceId = 1; sequenceId <= HEARTBEATS; sequenceId++) {
-          messages.writeBytes(call("heartbeat", TMessageType.CALL, sequenceId));
-        }
-        messages.writeBytes(ThriftTestClient.withLengthPrefix(new byte[] {1, 2, 3, 4, 5}));
-        client.getOutputStream().write(messages.toByteArray());
-        client.setSoTimeout(5000);
-        byte[] replies = client.getInputStream().readAllBytes(); // until the server closes
-        BitSet answered = new BitSet();
-        new FrameDecoder(1 << 16)
-            .decode(ByteBuffer.wrap(replies), frame -> recordAnswer(answered, frame));
-        assertThat(answered.cardinality()).isEqualTo(HEARTBEATS);
+    start(QUEUE_BYTES);
+    try (Socket client = new Socket("127.0.0.1", server.port())) {
+      ByteArrayOutputStream messages = new ByteArrayOutputStream();
+      for (int sequenceId = 1; sequenceId <= HEARTBEATS; sequenceId++) {
+        messages.writeBytes(call("heartbeat", TMessageType.CALL, sequenceId));
       }
+      messages.writeBytes(ThriftTestClient.withLengthPrefix(new byte[] {1, 2, 3, 4, 5}));
+      client.getOutputStream().write(messages.toByteArray());
+      client.setSoTimeout(5000);
+      byte[] replies = client.getInputStream().readAllBytes(); // until the server closes
+      BitSet answered = new BitSet();
+      new FrameDecoder(1 << 16)
+          .decode(ByteBuffer.wrap(replies), frame -> recordAnswer(answered, frame));
+      assertThat(answered.cardinality()).isEqualTo(HEARTBEATS);
     }
   }
 
@@ -330,8 +315,6 @@
    */
   @Test
   void countsReceiveTimeoutOfPartialMessageFromItsOwnRead() throws Exception {
-    ConcurrentLinkedQueue<Consumer<RouterCore>> events = new ConcurrentLinkedQueue<>();
-    AtomicLong millis = new AtomicLong();
     RouterCore core = idleCore();
     ByteArrayOutputStream messages = new ByteArrayOutputStream();
     while (messages.size() < 2 * ThriftServer.MAX_READ_BYTES) {
@@ -339,22 +322,19 @@
     }
     int messageBytes = call("heartbeat", TMessageType.CALL, 1).length;
     byte[] bytes = messages.toByteArray();
-    try (NetworkTransport net = new NetworkTransport(1, "flood-test");
-        ThriftServer server = server(events, 1 << 20, () -> Duration.ofMillis(millis.get()))) {
-      server.listen(net, "127.0.0.1", 0);
-      try (Socket client = new Socket("127.0.0.1", server.port())) {
-        client.setSoTimeout(5000);
-        client.getOutputStream().write(bytes, 0, ThriftServer.MAX_READ_BYTES);
-        readReplies(client, ThriftServer.MAX_READ_BYTES / messageBytes);
-        core.tick(Duration.ZERO, List.copyOf(events));
-        advance(server, millis, RECEIVE_TIMEOUT.toMillis() * 6 / 10);
-        client.getOutputStream().write(bytes, ThriftServer.MAX_READ_BYTES, messageBytes);
-        readReplies(client, 1);
-        advance(server, millis, RECEIVE_TIMEOUT.toMillis() * 6 / 10);
-        assertThat(server.openConnections()).isEqualTo(1);
-        advance(server, millis, RECEIVE_TIMEOUT.toMillis());
-        assertThat(server.openConnections()).as("overdue by now").isZero();
-      }
+    start(1 << 20);
+    try (Socket client = new Socket("127.0.0.1", server.port())) {
+      client.setSoTimeout(5000);
+      client.getOutputStream().write(bytes, 0, ThriftServer.MAX_READ_BYTES);
+      readReplies(client, ThriftServer.MAX_READ_BYTES / messageBytes);
+      core.tick(Duration.ZERO, List.copyOf(events));
+      advance(RECEIVE_TIMEOUT.toMillis() * 6 / 10);
+      client.getOutputStream().write(bytes, ThriftServer.MAX_READ_BYTES, messageBytes);
+      readReplies(client, 1);
+      advance(RECEIVE_TIMEOUT.toMillis() * 6 / 10);
+      assertThat(server.openConnections()).isEqualTo(1);
+      advance(RECEIVE_TIMEOUT.toMillis());
+      assertThat(server.openConnections()).as("overdue by now").isZero();
     }
   }
 
@@ -366,7 +346,7 @@
   }
 
   /** Lets the time pass in steps in which overdue connections are closed. */
-  private static void advance(ThriftServer server, AtomicLong millis, long span) {
+  private void advance(long span) {
     for (long end = millis.get() + span; millis.get() < end; ) {
       millis.addAndGet(SWEEP_MILLIS);
       server.closeOverdueConnections(Duration.ofMillis(millis.get()));
--- a/src/test/java/switchgap/server/platform/FloodingClients.java
+++ b/src/test/java/switchgap/server/platform/FloodingClients.java
@@ -6,13 +6,10 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.thrift.TException;
-import org.apache.thrift.protocol.TBinaryProtocol;
-import org.apache.thrift.transport.TMemoryBuffer;
 
 /**
  * Clients that send small submits with invalid fields at full speed on many connections, and read
@@ -65,20 +62,11 @@
   private static byte[] burst() throws TException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     for (int sequenceId = 1; sequenceId <= SUBMITS_PER_BURST; sequenceId++) {
-      bytes.writeBytes(invalidSubmit(sequenceId));
+      bytes.writeBytes(ThriftTestClient.submitFrame(sequenceId, INVALID_FIELDS, new byte[0]));
     }
     return bytes.toByteArray();
   }
 
-  private static byte[] invalidSubmit(int sequenceId) throws TException {
-    TMemoryBuffer buffer = new TMemoryBuffer(256);
-    TBinaryProtocol protocol = new TBinaryProtocol(buffer);
-    ThriftTestClient.writeSubmitArguments(protocol, sequenceId, INVALID_FIELDS, new byte[0]);
-    protocol.writeFieldStop();
-    byte[] frame = Arrays.copyOf(buffer.getArray(), buffer.length());
-    return ThriftTestClient.withLengthPrefix(frame);
-  }
-
   private void run() {
     ByteBuffer discarded = ByteBuffer.allocateDirect(1 << 16);
     while (!isEnded && !clients.isEmpty()) {
--- a/src/test/java/switchgap/server/platform/ThriftTestClient.java
+++ b/src/test/java/switchgap/server/platform/ThriftTestClient.java
@@ -83,9 +83,15 @@
 
   /** Encodes a submit as a frame with its length prefix. */
   static byte[] submitFrame(int sequenceId, TestSubmit submit) throws TException {
+    return submitFrame(sequenceId, submit.fields(), submit.bodyBytes());
+  }
+
+  /** Encodes a submit of the given fields, which may be invalid, with its length prefix. */
+  static byte[] submitFrame(int sequenceId, Map<String, String> fields, byte[] body)
+      throws TException {
     TMemoryBuffer buffer = new TMemoryBuffer(256);
     TBinaryProtocol protocol = new TBinaryProtocol(buffer);
-    writeSubmitArguments(protocol, sequenceId, submit.fields(), submit.bodyBytes());
+    writeSubmitArguments(protocol, sequenceId, fields, body);
     protocol.writeFieldStop();
     return withLengthPrefix(Arrays.copyOf(buffer.getArray(), buffer.length()));
   }
