Functions: keep only the part of a hash order and the replicas that were looked at

Cause: for each function the policy kept the order of all ready workers and a list of replicas up to the highest worker index, some 15 KB at 1,920 workers, for up to 4,096 functions in a heap of 48 MB. Evidence: in the last class histogram before the end 20.0 MB of Worker[] and 21.2 MB of Object[] for 2,603 functions. Two terms of the same kind: a restart of a worker stored a replica for every function; a request held a bit set by worker index.

Change: HashOrderCache computes the first workers of an order, more when more are looked at, and is bounded over all functions. A function stores replicas of which something is known; the initial state follows from the worker. ReplicaStateLimit bounds the stored replicas of all functions. It works because what is kept depends on what was looked at and sent, bounded in its own unit.

--- a/src/main/java/switchgap/policy/ReplicaLoader.java
+++ b/src/main/java/switchgap/policy/ReplicaLoader.java
@@ -43,11 +43,11 @@
 
   /** Sends a load command if one is allowed now; returns whether it was sent. */
   boolean load(Function function, Worker worker) {
-    Replica replica = function.replicaAt(worker);
+    Replica replica = function.findReplica(worker);
     if (!state.settings.loadCommandsAllowed
         || !worker.isReady()
         || outliers.isEjected(worker)
-        || replica.isLoadPending()
+        || (replica != null && replica.isLoadPending())
         || wasRejectedRecently(replica)
         || isProbablyMissing(function)
         || pendingLoads >= Math.max(1, maxPendingLoads)
@@ -83,7 +83,9 @@
    * draining and the endpoint list does not report that yet.
    */
   private boolean wasRejectedRecently(Replica replica) {
-    return replica.loadRejectedAt() != null && state.isWithin(SECOND, replica.loadRejectedAt());
+    return replica != null
+        && replica.loadRejectedAt() != null
+        && state.isWithin(SECOND, replica.loadRejectedAt());
   }
 
   /**
@@ -94,7 +96,7 @@
     boolean queriesFirst = state.ownShare < 1 && state.settings.loadCommandsAllowed;
     int visited = 0;
     for (Worker worker : state.hashOrder(function)) {
-      Replica replica = function.replicaAt(worker);
+      Replica replica = function.findReplica(worker);
       if (outliers.isEjected(worker)
           || leases.isUnavailable(worker)
           || wasRejectedRecently(replica)) {
@@ -104,7 +106,8 @@
         return;
       }
       Replica.State presumedState = state.replicaState(function, worker);
-      if (replica.isQueryPending() || presumedState == Replica.State.LOADED) {
+      boolean isQueryPending = replica != null && replica.isQueryPending();
+      if (isQueryPending || presumedState == Replica.State.LOADED) {
         continue;
       }
       if (queriesFirst && presumedState == Replica.State.UNKNOWN) {
--- a/src/main/java/switchgap/policy/ReplicaScaler.java
+++ b/src/main/java/switchgap/policy/ReplicaScaler.java
@@ -195,9 +195,20 @@
   private void scaleDown(Function function) {
     function.scaleDown(state.now());
     plannedMemoryMb -= function.memoryMb();
-    Worker[] order = state.hashOrder(function);
-    if (unloadsSurplusReplicas && function.targetReplicas() < order.length) {
-      state.dispatcher.unload(function, order[function.targetReplicas()]);
+    if (unloadsSurplusReplicas) {
+      unloadFirstSurplus(function);
+    }
+  }
+
+  /** Unloads the first replica in hash order that is not a target replica. */
+  private void unloadFirstSurplus(Function function) {
+    int visited = 0;
+    for (Worker worker : state.hashOrder(function)) {
+      if (visited == function.targetReplicas()) {
+        state.dispatcher.unload(function, worker);
+        return;
+      }
+      visited++;
     }
   }
 
--- a/src/main/java/switchgap/policy/RoutingPolicy.java
+++ b/src/main/java/switchgap/policy/RoutingPolicy.java
@@ -61,6 +61,7 @@
   private final WorkerLeases leases;
   private final ReplicaLoader loader;
   private final ReplicaScaler scaler;
+  private final ReplicaStateLimit replicaStateLimit;
   private final RetryPolicy retries;
   private final RequestQueue queue;
   private final WakeUpTimer wakeUps = new WakeUpTimer();
@@ -84,6 +85,7 @@
     leases = new WorkerLeases(state, RequestRouter.queueStep(state));
     loader = new ReplicaLoader(state, outliers, leases);
     scaler = new ReplicaScaler(state, outliers, loader, leases);
+    replicaStateLimit = new ReplicaStateLimit(state);
     retries = new RetryPolicy(state, slowStart);
     CandidateSelector selector = new CandidateSelector(state, outliers, leases, estimator, retries);
     RequestRouter router = new RequestRouter(state, estimator, loader, scaler, leases);
@@ -120,6 +122,7 @@
     outliers.decayOutcomeCounts();
     leases.updatePresumedRestarts();
     scaler.updateTargets();
+    replicaStateLimit.enforce();
   }
 
   @Override
--- a/src/main/java/switchgap/policy/state/ActionDispatcher.java
+++ b/src/main/java/switchgap/policy/state/ActionDispatcher.java
@@ -113,7 +113,8 @@
 
   /** Unloads a replica if this router commanded its load and its worker is ready. */
   public void unload(Function function, Worker worker) {
-    if (function.replicaAt(worker).unloadStarted(worker.isReady())) {
+    Replica replica = function.findReplica(worker);
+    if (replica != null && replica.unloadStarted(worker.isReady())) {
       state.actions().unload(worker.id, function.id);
     }
   }
--- a/src/main/java/switchgap/policy/state/Function.java
+++ b/src/main/java/switchgap/policy/state/Function.java
@@ -1,13 +1,14 @@
 package switchgap.policy.state;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import switchgap.policy.api.RequestArrival;
 
-/**
- * A function: its target replica count, its workers in hash order and the presumed states of its
- * replicas.
- */
+/** A function: its target replica count and the presumed states of its replicas. */
 public final class Function {
+  private static final int INITIAL_REPLICA_CAPACITY = 4;
+
   public final int id;
 
   /** Id of the function, identical at all routers. */
@@ -29,26 +30,43 @@
   private Duration lastLoadFailure;
   private Duration lastRequest;
   private Duration lastBusy;
-  private Worker[] workersByHash = {};
-  private int hashOrderVersion = -1;
-  private final IndexedTable<Replica> replicas = new IndexedTable<>();
 
-  Function(int id, long hash, double[] concurrencyEdges, Duration now) {
+  /** Replicas whose presumed state differs from the initial one. */
+  private final Map<Worker, Replica> replicas = new HashMap<>(INITIAL_REPLICA_CAPACITY);
+
+  private final long createdAtEvent;
+
+  /**
+   * Creates a function without open requests.
+   *
+   * @param createdAtEvent number of the event that created it, see {@link
+   *     PolicyState#nextEventNumber}
+   */
+  Function(int id, long hash, double[] concurrencyEdges, Duration now, long createdAtEvent) {
     this.id = id;
     this.hash = hash;
+    this.createdAtEvent = createdAtEvent;
     this.concurrency = new Histogram(concurrencyEdges);
     this.lastBusy = now;
   }
 
-  /** The presumed state of the replica at a worker. */
+  /** The replica at a worker, to be changed. */
   public Replica replicaAt(Worker worker) {
-    Replica replica = replicas.get(worker.id);
-    if (replica == null) {
-      Replica.State initial =
-          worker.isPresumedEmpty() ? Replica.State.ABSENT : Replica.State.UNKNOWN;
-      replica = replicas.set(worker.id, new Replica(initial));
-    }
-    return replica;
+    return replicas.computeIfAbsent(worker, key -> new Replica(initialStateAt(worker)));
+  }
+
+  /** The replica at a worker, or null if nothing has changed its initial state. */
+  public Replica findReplica(Worker worker) {
+    return replicas.get(worker);
+  }
+
+  /**
+   * The presumed state of a replica of which nothing is known. A worker whose process has restarted
+   * since the function was first requested has only replicas that it loads on command.
+   */
+  Replica.State initialStateAt(Worker worker) {
+    boolean isEmpty = worker.isPresumedEmpty() || worker.restartedAtEvent() > createdAtEvent;
+    return isEmpty ? Replica.State.ABSENT : Replica.State.UNKNOWN;
   }
 
   /** Number of requests that one replica executes concurrently. */
@@ -190,16 +208,33 @@
     openRequests--;
   }
 
-  void removeReplica(int worker) {
-    replicas.set(worker, null);
+  /** Handles a restart of a worker's process. */
+  void workerRestarted(Worker worker) {
+    Replica replica = replicas.get(worker);
+    if (replica != null) {
+      replica.workerRestarted();
+    }
   }
 
-  /** The ready workers in hash order, cached per version of the endpoint list. */
-  Worker[] hashOrder(Iterable<Worker> workers, int listVersion) {
-    if (hashOrderVersion != listVersion) {
-      workersByHash = RendezvousHash.order(this, workers);
-      hashOrderVersion = listVersion;
+  /** Records that an attempt is sent to a worker. */
+  void attemptStarted(Worker worker, Duration now) {
+    Replica replica = replicas.get(worker);
+    if (replica != null) {
+      replica.markUsed(now);
     }
-    return workersByHash;
+  }
+
+  /** Number of replicas whose state is stored. */
+  public int storedReplicas() {
+    return replicas.size();
+  }
+
+  /** Presumes the initial state of all replicas at which no command is in flight. */
+  public void forgetReplicas() {
+    replicas.values().removeIf(replica -> !replica.isCommandPending());
+  }
+
+  void removeReplica(Worker worker) {
+    replicas.remove(worker);
   }
 }
--- a/src/main/java/switchgap/policy/state/PolicyState.java
+++ b/src/main/java/switchgap/policy/state/PolicyState.java
@@ -12,6 +12,9 @@
  * calls the policy.
  */
 public final class PolicyState {
+  /** Bound of the workers in all cached hash orders. */
+  private static final int MAX_CACHED_WORKERS = 1 << 18;
+
   public final SettingsSnapshot settings;
   public final SplittableRandom random;
   public final IndexedTable<Worker> workers = new IndexedTable<>();
@@ -20,6 +23,7 @@
   public final FleetStatistics fleet;
   public final TenantUsage tenants;
   public final LoadQuotaUsage loadQuota;
+  private final HashOrderCache hashOrders = new HashOrderCache(workers, MAX_CACHED_WORKERS);
 
   /**
    * This router's equal share of a worker's default capacity, in requests and at most 1. It is 1
@@ -41,9 +45,7 @@
   private double readyMemoryMb;
   private final HistogramEdges edges;
 
-  /** Number of endpoint lists received; values derived from an earlier list are outdated. */
-  private int listVersion;
-
+  private long eventNumber;
   private boolean listComplete;
 
   /** Until when the endpoint list is confirmed; null if at all times. */
@@ -167,13 +169,18 @@
   /**
    * All ready workers in the function's rendezvous hash order, which is the same at all routers.
    */
-  public Worker[] hashOrder(Function function) {
-    return function.hashOrder(workers, listVersion);
+  public Iterable<Worker> hashOrder(Function function) {
+    return hashOrders.order(function);
   }
 
   /** The presumed state of a replica; unknown once the worker may have unloaded it as idle. */
   public Replica.State replicaState(Function function, Worker worker) {
-    Replica replica = function.replicaAt(worker);
+    Replica replica = function.findReplica(worker);
+    if (replica == null && !worker.isPresumedEmpty()) {
+      return function.initialStateAt(worker);
+    }
+    // At a worker that is presumed empty, the state stays as it is once the worker has warmed up.
+    replica = function.replicaAt(worker);
     if (replica.state() == Replica.State.LOADED
         && !isWithin(settings.replicaIdleTimeout, replica.lastUsed())) {
       replica.markExpired();
@@ -181,14 +188,19 @@
     return replica.state();
   }
 
+  /**
+   * Numbers the events that create a function or restart a worker, from 1, to tell which was first.
+   */
+  private long nextEventNumber() {
+    eventNumber++;
+    return eventNumber;
+  }
+
   /** Adds a request that arrived, and its function if it is new. */
   public Request add(RequestArrival arrival) {
     Function function = functions.get(arrival.function());
     if (function == null) {
-      function =
-          functions.set(
-              arrival.function(),
-              new Function(arrival.function(), arrival.functionHash(), edges.concurrency(), now));
+      function = functions.set(arrival.function(), newFunction(arrival));
     }
     function.requestArrived(arrival, now);
     tenants.count(arrival.tenant());
@@ -197,6 +209,11 @@
     return requests.set(arrival.request(), new Request(arrival, requestClass, function, now));
   }
 
+  private Function newFunction(RequestArrival arrival) {
+    return new Function(
+        arrival.function(), arrival.functionHash(), edges.concurrency(), now, nextEventNumber());
+  }
+
   /** Closes a request that has its final response or whose client disconnected. */
   public void close(Request request) {
     if (request.close()) {
@@ -214,6 +231,7 @@
 
   /** Removes a function and releases its index. */
   public void release(Function function) {
+    hashOrders.remove(function);
     functions.set(function.id, null);
     actions.releaseFunction(function.id);
   }
@@ -251,11 +269,9 @@
   }
 
   private void workerRestarted(Worker worker) {
-    worker.discardMeasurements();
+    worker.restarted(nextEventNumber());
     worker.setPresumedEmpty(isWarmingUp(worker));
-    for (Function function : functions) {
-      function.replicaAt(worker).workerRestarted();
-    }
+    functions.forEach(function -> function.workerRestarted(worker));
   }
 
   /**
@@ -277,13 +293,13 @@
         readyMemoryMb += worker.memoryMb();
       }
     }
-    listVersion++;
+    hashOrders.clear();
   }
 
   private void release(Worker worker) {
     workers.set(worker.id, null);
-    functions.forEach(function -> function.removeReplica(worker.id));
-    requests.forEach(request -> request.removeWorker(worker.id));
+    functions.forEach(function -> function.removeReplica(worker));
+    requests.forEach(request -> request.removeWorker(worker));
     actions.releaseWorker(worker.id);
   }
 }
--- a/src/main/java/switchgap/policy/state/Replica.java
+++ b/src/main/java/switchgap/policy/state/Replica.java
@@ -57,6 +57,11 @@
     return loadPending;
   }
 
+  /** Whether any command for it is in flight that reports its state when it ends. */
+  boolean isCommandPending() {
+    return queryPending || loadPending;
+  }
+
   /** Records that a command to load it is sent. */
   public void loadStarted(Duration now) {
     state = State.LOADING;
--- a/src/main/java/switchgap/policy/state/Request.java
+++ b/src/main/java/switchgap/policy/state/Request.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.List;
 import switchgap.policy.api.AttemptOutcome;
 import switchgap.policy.api.DeduplicationScope;
@@ -30,7 +29,7 @@
   public final Duration durationHint;
 
   private final List<AttemptState> attempts = new ArrayList<>(2);
-  private final BitSet failedWorkers = new BitSet();
+  private final List<Worker> failedWorkers = new ArrayList<>(0);
   private Phase phase = Phase.OPEN;
   private double weight;
   private double capacityDraw;
@@ -187,7 +186,7 @@
       firstSentAt = now;
     }
     worker.attemptStarted(attempt);
-    function.replicaAt(worker).markUsed(now);
+    function.attemptStarted(worker, now);
   }
 
   /** Records the end of an attempt at a worker; returns the attempt. */
@@ -211,21 +210,23 @@
 
   /** Records that an attempt at a worker ended without a successful response. */
   public void markFailedAt(Worker worker) {
-    failedWorkers.set(worker.id);
+    if (!hasFailedAt(worker)) {
+      failedWorkers.add(worker);
+    }
   }
 
   /** Whether an attempt at a worker ended without a successful response. */
   public boolean hasFailedAt(Worker worker) {
-    return failedWorkers.get(worker.id);
+    return failedWorkers.contains(worker);
   }
 
   /** Number of workers at which an attempt ended without a successful response. */
   public int failedWorkerCount() {
-    return failedWorkers.cardinality();
+    return failedWorkers.size();
   }
 
-  void removeWorker(int worker) {
-    failedWorkers.clear(worker);
+  void removeWorker(Worker worker) {
+    failedWorkers.remove(worker);
   }
 
   /**
--- a/src/main/java/switchgap/policy/state/Worker.java
+++ b/src/main/java/switchgap/policy/state/Worker.java
@@ -46,6 +46,7 @@
   private WorkerState state = WorkerState.GONE;
   private boolean listed;
   private boolean presumedEmpty;
+  private long restartedAtEvent;
   private int zone;
   private int cell;
   private double memoryMb;
@@ -103,13 +104,23 @@
     state = WorkerState.GONE;
   }
 
-  /** Discards the latencies, errors and ejections of the previous process after a restart. */
-  public void discardMeasurements() {
+  /**
+   * Discards the latencies, errors and ejections of the previous process after a restart.
+   *
+   * @param eventNumber number of the restart, see {@link PolicyState#nextEventNumber}
+   */
+  void restarted(long eventNumber) {
+    restartedAtEvent = eventNumber;
     latencyRatios.clear();
     errors.clear();
     ejection.clear();
   }
 
+  /** Number of the last restart of its process among the events; 0 if there was none. */
+  long restartedAtEvent() {
+    return restartedAtEvent;
+  }
+
   /** Whether only this router can have loaded replicas there, because its process is new. */
   public boolean isPresumedEmpty() {
     return presumedEmpty;
--- a/src/test/java/switchgap/policy/TestEvents.java
+++ b/src/test/java/switchgap/policy/TestEvents.java
@@ -29,6 +29,15 @@
     events.endpointListEnded();
   }
 
+  /** Delivers a complete endpoint list of ready workers whose processes started at this time. */
+  static void listAllStartedAt(PolicyEvents events, int workers, Duration startedAt) {
+    events.endpointListStarted(true);
+    for (int worker = 0; worker < workers; worker++) {
+      list(events, worker, WorkerState.READY, startedAt);
+    }
+    events.endpointListEnded();
+  }
+
   /** Delivers a change of one worker; {@code startedAt} is null if its process started long ago. */
   static void change(PolicyEvents events, int worker, WorkerState state, Duration startedAt) {
     events.endpointListStarted(false);
@@ -36,10 +45,19 @@
     events.endpointListEnded();
   }
 
-  /** Delivers the entry of one worker, whose zone and cell are its number modulo 2. */
+  /** Delivers the entry of one worker. */
   private static void list(PolicyEvents events, int worker, WorkerState state, Duration startedAt) {
-    events.endpointListed(
-        new EndpointEntry(worker, 1000 + worker, state, worker % 2, worker % 2, 0, 1, startedAt));
+    events.endpointListed(endpoint(worker, state, startedAt));
+  }
+
+  /** The entry of a ready worker whose process started long ago. */
+  static EndpointEntry readyEndpoint(int worker) {
+    return endpoint(worker, WorkerState.READY, null);
+  }
+
+  /** The entry of a worker, whose zone and cell are its number modulo 2. */
+  private static EndpointEntry endpoint(int worker, WorkerState state, Duration startedAt) {
+    return new EndpointEntry(worker, 1000 + worker, state, worker % 2, worker % 2, 0, 1, startedAt);
   }
 
   static void replicaLoaded(PolicyEvents events, int worker, int function, int durationMillis) {
