--- a/src/main/java/switchgap/policy/ReplicaLoader.java
+++ b/src/main/java/switchgap/policy/ReplicaLoader.java
@@ -43,12 +43,11 @@
 
   /** Sends a load command if one is allowed now; returns whether it was sent. */
   boolean load(Function function, Worker worker) {
-    Replica replica = function.findReplica(worker);
     if (!state.settings.loadCommandsAllowed
         || !worker.isReady()
         || outliers.isEjected(worker)
-        || (replica != null && replica.isLoadPending())
-        || wasRejectedRecently(replica)
+        || function.isLoadPending(worker)
+        || wasRejectedRecently(function, worker)
         || isProbablyMissing(function)
         || pendingLoads >= Math.max(1, maxPendingLoads)
         || isQuotaUsedUp()) {
@@ -82,7 +81,8 @@
    * Whether the worker rejected a load within the last second: it is out of memory, or it is
    * draining and the endpoint list does not report that yet.
    */
-  private boolean wasRejectedRecently(Replica replica) {
+  private boolean wasRejectedRecently(Function function, Worker worker) {
+    Replica replica = function.findReplica(worker);
     return replica != null
         && replica.loadRejectedAt() != null
         && state.isWithin(SECOND, replica.loadRejectedAt());
@@ -96,18 +96,16 @@
     boolean queriesFirst = state.ownShare < 1 && state.settings.loadCommandsAllowed;
     int visited = 0;
     for (Worker worker : state.hashOrder(function)) {
-      Replica replica = function.findReplica(worker);
       if (outliers.isEjected(worker)
           || leases.isUnavailable(worker)
-          || wasRejectedRecently(replica)) {
+          || wasRejectedRecently(function, worker)) {
         continue;
       }
       if (visited++ >= function.targetReplicas()) {
         return;
       }
       Replica.State presumedState = state.replicaState(function, worker);
-      boolean isQueryPending = replica != null && replica.isQueryPending();
-      if (isQueryPending || presumedState == Replica.State.LOADED) {
+      if (function.isQueryPending(worker) || presumedState == Replica.State.LOADED) {
         continue;
       }
       if (queriesFirst && presumedState == Replica.State.UNKNOWN) {
--- a/src/main/java/switchgap/policy/ReplicaScaler.java
+++ b/src/main/java/switchgap/policy/ReplicaScaler.java
@@ -251,11 +251,10 @@
         continue;
       }
       boolean isLoaded = state.replicaState(function, worker) == Replica.State.LOADED;
-      Replica replica = function.replicaAt(worker);
       Duration renewalAge = scale(idleTimeout, RENEWAL_AGE_SHARE);
       if (isLoaded
-          && !replica.isQueryPending()
-          && !state.isWithin(renewalAge, replica.lastUsed())) {
+          && !function.isQueryPending(worker)
+          && !state.isWithin(renewalAge, function.replicaAt(worker).lastUsed())) {
         renew(function, worker);
       }
       return;
--- a/src/main/java/switchgap/policy/state/Function.java
+++ b/src/main/java/switchgap/policy/state/Function.java
@@ -60,6 +60,18 @@
     return replicas.get(worker);
   }
 
+  /** Whether a command to load the replica at a worker is in flight. */
+  public boolean isLoadPending(Worker worker) {
+    Replica replica = replicas.get(worker);
+    return replica != null && replica.isLoadPending();
+  }
+
+  /** Whether a query for the replica at a worker, or a command to renew it, is in flight. */
+  public boolean isQueryPending(Worker worker) {
+    Replica replica = replicas.get(worker);
+    return replica != null && replica.isQueryPending();
+  }
+
   /**
    * The presumed state of a replica of which nothing is known. A worker whose process has restarted
    * since the function was first requested has only replicas that it loads on command.
