--- a/src/test/java/switchgap/server/platform/PlatformProcessFixture.java
+++ b/src/test/java/switchgap/server/platform/PlatformProcessFixture.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,6 +62,18 @@
     startProcess("");
   }
 
+  /**
+   * Starts a router as it is deployed, in a fleet of many workers, which are all the same server.
+   */
+  void startDeployedProcess(int maxSockets, int workerCount, RespTestServer worker)
+      throws IOException {
+    jvmOptions = deployedJvmOptions();
+    settings = settings.replace("\"Balancers\":1,", "\"Balancers\":100,");
+    RespTestServer[] workers = new RespTestServer[workerCount];
+    Arrays.fill(workers, worker);
+    startProcess(maxSockets, workers);
+  }
+
   /**
    * Starts a router with the existing configuration file.
    *
